--- /dev/null
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -0,0 +1,1097 @@
+package stonespring.decision;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.zip.CRC32;
+import stonespring.model.DecisionModule;
+import stonespring.model.Event;
+import stonespring.model.Listing;
+import stonespring.model.LoadReport;
+import stonespring.model.MarkId;
+import stonespring.model.OpType;
+import stonespring.model.Order;
+import stonespring.model.ProxyId;
+import stonespring.model.Settings;
+import stonespring.model.TableId;
+import stonespring.model.TaskId;
+import stonespring.model.Tenths;
+import stonespring.model.TimerToken;
+
+/**
+ * All decisions of one assigner. A host makes one instance with the settings and a seed, gives it every event of a
+ * moment through {@link DecisionModule#take} and carries out what {@link DecisionModule#finish} returns, in order.
+ * The interface is {@code stonespring.model.DecisionModule}; the types of events, orders and settings stand beside it.
+ * The instance keeps no clock, thread or file, so that a simulator and a daemon can drive it alike.
+ */
+public final class Assigner implements DecisionModule {
+    // ---- Constants: each with its unit and the reason for its size.
+
+    /** Share of a task's capacity that counts as room; the design's 0.8, so a task may go to 1.25 of its part. */
+    private static final double FILL = 0.8;
+    /** Tenths of a ms until freed room counts though no answer came; the design's 2 s. */
+    private static final long CREDIT_WAIT = 2 * Tenths.SECOND;
+    /** Tenths of a ms over which a newly heard task's headroom opens from a quarter to all; the design's 10 s. */
+    private static final long OPENING = 10 * Tenths.SECOND;
+    /** Share of its headroom that a newly heard task offers at first; the design's quarter. */
+    private static final double OPENING_SHARE = 0.25;
+    /** Tenths of a ms until a move shows in the sums: a sum's usual period and lateness on top of the message's. */
+    private static final long SHOWS_AFTER = 3 * Tenths.SECOND;
+    /** Potential time of a move in a cycle, in tenths of a ms: above any chain that a channel could hold. */
+    private static final double CYCLE = 1e9;
+    /** Share of a table's traffic that must change before a move is worth a message; under it is noise of the sums. */
+    private static final double MOVE_LEAST = 0.05;
+    /** Smallest weight of a kept line: enough ops to see a task come back, few enough to lose. */
+    private static final double LINE_LEAST = 0.01;
+    /** Times that a task of the proxy's own zone is likelier drawn; two lines in three at home with three zones. */
+    private static final double HOME_PULL = 4;
+    /** Fewest lines of a table: with fewer, one bad task is a third of a proxy's ops. */
+    private static final int LINES_LEAST = 4;
+    /** Rounds of weighing lines per turn: the weights move less than a percent after that. */
+    private static final int WEIGHING_ROUNDS = 40;
+    /** Price of an op sent to a failing task, in ops lost: one and the time lost with it. */
+    private static final double FAIL_PRICE = 1.5;
+    /** Part of ops lost to a full task as a power of its fill: nothing at half, one in two when full. */
+    private static final double LOSS_POWER = 6;
+    /** Half-life of sums in tenths of a ms: two periods, to follow trouble within a few seconds yet smooth noise. */
+    private static final long HALF_LIFE = 2 * Tenths.SECOND;
+    /** Fill of tasks that nothing was heard of, share: an ordinary day's. */
+    private static final double USUAL_FILL = 0.6;
+    /** Least busy share from which a task's speed is read: under it the report's noise rules. */
+    private static final double BUSY_LEAST = 0.15;
+    /** Weight of a new reading of speed, share: some ten readings, as reports carry a tenth of noise. */
+    private static final double SPEED_STEP = 0.15;
+    /** Turns with sums that an assigner waits before it touches tables that stand from before it started. */
+    private static final int SETTLE_TURNS = 3;
+    /** Times that the channel may run slower than told; the slowest seen so far and some. */
+    private static final double CHANNEL_SLOW = 5;
+    /** Share of the channel's limit that routine orders may fill; the rest is kept for drains and empty tables. */
+    private static final double ROUTINE_LINES = 0.3;
+    /** Share of a proxy's message limit that routine orders may use; the rest is kept likewise. */
+    private static final double ROUTINE_MESSAGES = 0.5;
+    /** Bad share above which a task counts as down, and from which it is cold when it answers again. */
+    private static final double DOWN_SHARE = 0.8;
+    /** Tenths of a ms between attempts to follow the list at first; doubles up to the last one. */
+    private static final long FOLLOW_RETRY = Tenths.SECOND / 2;
+    private static final long FOLLOW_RETRY_MOST = 4 * Tenths.SECOND;
+    /** The one timer's token. */
+    private static final TimerToken TICK = new TimerToken(1);
+
+    // ---- Parts and notes: parts talk only through inboxes that one loop empties.
+
+    private interface Note {
+    }
+
+    private record Entry(Listing listing) implements Note {
+    }
+
+    private record Missing() implements Note {
+    }
+
+    private record Told(Event event) implements Note {
+    }
+
+    private record Leaving(int task) implements Note {
+    }
+
+    private record Entering(int task) implements Note {
+    }
+
+    private record Joined(Proxy proxy) implements Note {
+    }
+
+    private record Heard() implements Note {
+    }
+
+    private abstract class Part {
+        private final ArrayDeque<Note> inbox = new ArrayDeque<>();
+
+        abstract void on(Note note);
+    }
+
+    private final ArrayDeque<Part> waiting = new ArrayDeque<>();
+
+    private void post(Part part, Note note) {
+        part.inbox.add(note);
+        waiting.add(part);
+    }
+
+    private void emptyInboxes() {
+        for (Part part = waiting.poll(); part != null; part = waiting.poll()) {
+            part.on(part.inbox.poll());
+        }
+    }
+
+    // ---- The instance.
+
+    private final Settings set;
+    private final long seed;
+    private long draws;
+    private long now;
+    private final Roster roster = new Roster();
+    private final Planner planner = new Planner();
+    private final Channel channel = new Channel();
+    private final TreeMap<Integer, Proxy> proxies = new TreeMap<>();
+
+    // Figures about tasks: parallel arrays under a task's index.
+    private int tasks;
+    private final Map<TaskId, Task> taskById = new HashMap<>();
+    private Task[] task = new Task[32];
+    private int[] zone = new int[32];
+    private double[] listed = new double[32];
+    private Listing.State[] state = new Listing.State[32];
+    private long[] started = new long[32];
+    private long[] heardSince = new long[32];
+    private double[] rate = new double[32];
+    private double[] busy = new double[32];
+    private double[] speed = new double[32];
+    private boolean[] down = new boolean[32];
+    private boolean[] out = new boolean[32];
+    private double[][] bad;
+    private double[][] tries;
+
+    public Assigner(Settings settings, long seed, long now) {
+        this.set = settings;
+        this.seed = seed;
+        this.now = now;
+        this.bad = new double[settings.zones()][32];
+        this.tries = new double[settings.zones()][32];
+    }
+
+    @Override
+    public void take(long at, Event event) {
+        now = at;
+        if (event instanceof Event.TaskSums e) {
+            Task t = taskById.get(e.task());
+            if (t != null) {
+                post(t, new Told(e));
+            }
+        } else if (event instanceof Event.ProxyJoined e) {
+            post(proxies.computeIfAbsent(e.proxy().number(), n -> new Proxy(e.proxy())), new Told(e));
+        } else if (event instanceof Event.ProxyLeft e) {
+            toProxy(e.proxy(), event);
+        } else if (event instanceof Event.ProxyOps e) {
+            toProxy(e.proxy(), event);
+        } else if (event instanceof Event.Answered e) {
+            toProxy(e.proxy(), event);
+        } else if (event instanceof Event.ListTold || event instanceof Event.TimerDue) {
+            post(roster, new Told(event));
+        }
+        emptyInboxes();
+    }
+
+    private void toProxy(ProxyId id, Event event) {
+        Proxy proxy = proxies.get(id.number());
+        if (proxy != null) {
+            post(proxy, new Told(event));
+        }
+    }
+
+    @Override
+    public List<Order> finish(long at) {
+        now = at;
+        emptyInboxes();
+        planner.plan();
+        return channel.flush();
+    }
+
+    /** Chance: a number from 0 to 1, the same for the same seed and count of draws. */
+    private double chance() {
+        CRC32 crc = new CRC32();
+        crc.update(ByteBuffer.allocate(16).putLong(seed).putLong(draws++).array());
+        return crc.getValue() / 4294967296.0;
+    }
+
+    private boolean live(int i) {
+        return state[i] == Listing.State.READY;
+    }
+
+    /** Part of its full capacity that a task surely has: a started one rises from the cold share, evenly at worst. */
+    private double warmth(int i) {
+        if (started[i] <= 0) {
+            return 1;
+        }
+        double age = (double) Math.max(0, now - started[i]) / Math.max(1, set.coldTime());
+        return Math.min(1, set.coldShare() + (1 - set.coldShare()) * age);
+    }
+
+    // ---- A task.
+
+    private final class Task extends Part {
+        private final TaskId id;
+        private final int index;
+
+        Task(TaskId id) {
+            this.id = id;
+            this.index = tasks++;
+            if (index == task.length) {
+                int size = 2 * index;
+                task = Arrays.copyOf(task, size);
+                zone = Arrays.copyOf(zone, size);
+                listed = Arrays.copyOf(listed, size);
+                state = Arrays.copyOf(state, size);
+                started = Arrays.copyOf(started, size);
+                heardSince = Arrays.copyOf(heardSince, size);
+                rate = Arrays.copyOf(rate, size);
+                busy = Arrays.copyOf(busy, size);
+                speed = Arrays.copyOf(speed, size);
+                down = Arrays.copyOf(down, size);
+                out = Arrays.copyOf(out, size);
+                for (int z = 0; z < bad.length; z++) {
+                    bad[z] = Arrays.copyOf(bad[z], size);
+                    tries[z] = Arrays.copyOf(tries[z], size);
+                }
+            }
+            task[index] = this;
+            state[index] = Listing.State.GONE;
+            forget();
+        }
+
+        private void forget() {
+            heardSince[index] = -1;
+            rate[index] = 0;
+            busy[index] = Double.NaN;
+            speed[index] = Double.NaN;
+            down[index] = false;
+            for (int z = 0; z < bad.length; z++) {
+                bad[z][index] = 0;
+                tries[z][index] = 0;
+            }
+        }
+
+        @Override
+        void on(Note note) {
+            if (note instanceof Entry e) {
+                entry(e.listing());
+            } else if (note instanceof Missing && state[index] != Listing.State.GONE) {
+                state[index] = Listing.State.GONE;
+                post(planner, new Leaving(index));
+            } else if (note instanceof Told t && t.event() instanceof Event.TaskSums sums) {
+                sums(sums);
+            }
+        }
+
+        private void entry(Listing l) {
+            zone[index] = l.zone().index();
+            listed[index] = l.weight() > 0 ? l.weight() : 1;
+            boolean was = live(index);
+            boolean again = l.startedAt() > started[index];
+            if (l.state() == Listing.State.READY) {
+                state[index] = Listing.State.READY;
+                if (again) {
+                    // A task that started again is cold though tables still name it.
+                    forget();
+                    started[index] = l.startedAt();
+                }
+                if (again || !was) {
+                    post(planner, new Entering(index));
+                }
+            } else {
+                state[index] = l.state();
+                post(planner, new Leaving(index));
+            }
+        }
+
+        private void sums(Event.TaskSums e) {
+            double span = Math.max(1, e.span());
+            double keep = Math.pow(0.5, span / HALF_LIFE);
+            int z = e.from().index();
+            if (heardSince[index] < 0) {
+                heardSince[index] = now;
+            }
+            bad[z][index] = bad[z][index] * keep + e.bad();
+            tries[z][index] = tries[z][index] * keep + e.tries();
+            LoadReport r = e.report();
+            if (!Double.isNaN(r.busyShare())) {
+                busy[index] = Double.isNaN(busy[index]) ? r.busyShare()
+                        : busy[index] + (1 - keep) * (r.busyShare() - busy[index]);
+            }
+            double raw = Double.NaN;
+            if (r.workMs() > 0) {
+                raw = 1 / r.workMs();
+            } else if (busy[index] > BUSY_LEAST && warmth(index) >= 1) {
+                raw = (r.opsPerSecond() > 0 ? r.opsPerSecond() : rate[index]) / busy[index];
+            }
+            if (raw > 0) {
+                speed[index] = Double.isNaN(speed[index]) ? raw : speed[index] + SPEED_STEP * (raw - speed[index]);
+            }
+            double allTries = 0;
+            double allBad = 0;
+            for (int k = 0; k < bad.length; k++) {
+                allTries += tries[k][index];
+                allBad += bad[k][index];
+            }
+            if (allTries >= 3 && allBad / allTries > DOWN_SHARE) {
+                down[index] = true;
+            } else if (down[index] && e.bad() * 2 < e.tries()) {
+                // What was down for all and answers again may have started again: cold until the list says more.
+                down[index] = false;
+                started[index] = Math.max(started[index], now - Tenths.SECOND);
+            }
+            rate[index] = allTries * Math.log(2) / HALF_LIFE * Tenths.SECOND;
+            post(planner, new Heard());
+        }
+    }
+
+    // ---- The list.
+
+    private final class Roster extends Part {
+        private long nextFollow = -1;
+        private long followWait = FOLLOW_RETRY;
+        private boolean following;
+        private boolean ticking;
+
+        @Override
+        void on(Note note) {
+            Event event = ((Told) note).event();
+            if (event instanceof Event.ListTold e) {
+                list(e);
+            }
+            if (event instanceof Event.TimerDue) {
+                ticking = false;
+            }
+            if (!following && set.listOnRequest() && now >= nextFollow) {
+                channel.other(new Order.FollowList(true));
+                nextFollow = now + followWait + (long) (followWait * chance());
+                followWait = Math.min(FOLLOW_RETRY_MOST, 2 * followWait);
+            }
+            if (!ticking) {
+                ticking = true;
+                channel.other(new Order.SetTimer(set.sumsEvery() / 2, TICK));
+            }
+        }
+
+        private void list(Event.ListTold e) {
+            if (e.kind() == Event.ListKind.FAILED) {
+                following = false;
+                nextFollow = Math.max(nextFollow, now + followWait);
+                return;
+            }
+            if (e.kind() != Event.ListKind.LAST_SEEN) {
+                following = true;
+                followWait = FOLLOW_RETRY;
+            }
+            boolean[] seen = new boolean[tasks + e.entries().size()];
+            for (Listing l : e.entries()) {
+                Task t = taskById.computeIfAbsent(l.task(), Task::new);
+                seen[t.index] = true;
+                post(t, new Entry(l));
+            }
+            if (e.kind() == Event.ListKind.WHOLE) {
+                for (int i = 0; i < tasks; i++) {
+                    if (!seen[i]) {
+                        post(task[i], new Missing());
+                    }
+                }
+            }
+        }
+    }
+
+    // ---- A proxy.
+
+    private final class Proxy extends Part {
+        private final ProxyId id;
+        private int zoneIndex;
+        private boolean joined;
+        private boolean bound;
+        private boolean wanted;
+        private boolean fresh;
+        private long joinedAt;
+        private double ops;
+        private final double[] opsByType = new double[set.opTypes().size()];
+        private final boolean[] opsHeard = new boolean[set.opTypes().size()];
+        private double[] lines = new double[0];
+        private final TreeMap<Integer, Integer> swap = new TreeMap<>();
+        private boolean warned;
+        private final ArrayDeque<Long> messages = new ArrayDeque<>();
+        private final ArrayDeque<Freed> freed = new ArrayDeque<>();
+
+        Proxy(ProxyId id) {
+            this.id = id;
+        }
+
+        TableId table() {
+            return new TableId(id.number());
+        }
+
+        double line(int i) {
+            return i < lines.length ? lines[i] : 0;
+        }
+
+        @Override
+        void on(Note note) {
+            Event event = ((Told) note).event();
+            if (event instanceof Event.ProxyJoined e) {
+                zoneIndex = e.zone().index();
+                joined = true;
+                bound = false;
+                fresh = e.fresh();
+                warned = e.fresh();
+                joinedAt = now;
+                messages.clear();
+                if (ops <= 0) {
+                    ops = e.opsPerSecond();
+                }
+                post(planner, new Joined(this));
+            } else if (event instanceof Event.ProxyLeft) {
+                joined = false;
+                bound = false;
+                freed.forEach(f -> f.answered = true);
+                freed.clear();
+            } else if (event instanceof Event.ProxyOps e) {
+                int k = e.opType().index();
+                double seen = e.ops() * (double) Tenths.SECOND / Math.max(1, e.span());
+                double keep = Math.pow(0.5, (double) e.span() / HALF_LIFE);
+                opsByType[k] = opsHeard[k] ? opsByType[k] * keep + (1 - keep) * seen : seen;
+                opsHeard[k] = true;
+                boolean all = true;
+                double sum = 0;
+                for (int j = 0; j < opsHeard.length; j++) {
+                    all &= opsHeard[j];
+                    sum += opsByType[j];
+                }
+                ops = all ? sum : Math.max(ops, sum);
+            } else if (event instanceof Event.Answered e) {
+                while (!freed.isEmpty()) {
+                    Freed first = freed.poll();
+                    first.answered = true;
+                    if (first.mark == e.mark().number()) {
+                        break;
+                    }
+                }
+            }
+        }
+    }
+
+    /** Load that a sent move shifts and that the sums don't show yet. */
+    private static final class Freed {
+        private final int mark;
+        private final long at;
+        private final int[] at0;
+        private final double[] part;
+        private boolean answered;
+
+        Freed(int mark, long at, int[] at0, double[] part) {
+            this.mark = mark;
+            this.at = at;
+            this.at0 = at0;
+            this.part = part;
+        }
+    }
+
+    // ---- The tables: targets, moves, rounds.
+
+    /** One table that differs from its target. */
+    private final class Move {
+        private final Proxy proxy;
+        private final double[] target;
+        private double potential = -1;
+        private boolean open;
+
+        Move(Proxy proxy, double[] target) {
+            this.proxy = proxy;
+            this.target = target;
+        }
+
+        double part(int i) {
+            return proxy.ops * (target[i] - proxy.line(i));
+        }
+
+        double ownTime() {
+            int changed = set.messageHead();
+            for (int i = 0; i < target.length; i++) {
+                changed += differs(target[i], proxy.line(i)) ? 1 : 0;
+            }
+            return changed * Tenths.SECOND / set.linesPerSecond();
+        }
+    }
+
+    private static boolean differs(double a, double b) {
+        return Math.abs(a - b) > 0.005 + 0.05 * Math.max(a, b) || (a > 0) != (b > 0);
+    }
+
+    private final class Planner extends Part {
+        private final ArrayList<Integer> entrants = new ArrayList<>();
+        private final ArrayList<Proxy> urgent = new ArrayList<>();
+        private final ArrayList<Freed> moving = new ArrayList<>();
+        private boolean heard;
+        private long lastTurn = Long.MIN_VALUE / 2;
+        private int turns;
+        private double[] capacity = new double[0];
+
+        @Override
+        void on(Note note) {
+            if (note instanceof Leaving l) {
+                leave(l.task());
+            } else if (note instanceof Entering e) {
+                entrants.add(e.task());
+            } else if (note instanceof Joined j) {
+                j.proxy().wanted = true;
+            } else if (note instanceof Heard) {
+                heard = true;
+            }
+        }
+
+        private void leave(int i) {
+            channel.withdraw(i, true);
+            for (Proxy p : proxies.values()) {
+                if (p.joined && p.bound && p.line(i) > 0 && !urgent.contains(p)) {
+                    urgent.add(p);
+                }
+            }
+        }
+
+        /** Called once at the end of a moment. */
+        void plan() {
+            boolean turn = heard && now - lastTurn >= set.sumsEvery() * 9 / 10;
+            if (turn) {
+                heard = false;
+                lastTurn = now;
+                turns++;
+            }
+            boolean anyOut = false;
+            for (int i = 0; i < tasks; i++) {
+                anyOut |= !live(i);
+            }
+            for (Proxy p : proxies.values()) {
+                // Standing tables are left alone after a start until sums were heard, unless what left may be all of it.
+                boolean late = anyOut && now - p.joinedAt > set.emptyLimit() / 2;
+                if (p.joined && !p.bound && p.wanted && (p.fresh || turns >= SETTLE_TURNS || late)) {
+                    urgent.add(p);
+                } else if (p.joined && !p.bound && !p.warned) {
+                    // Tables from before this stream may name what left: withdrawals don't reach later joiners.
+                    p.warned = true;
+                    for (int i = 0; i < tasks; i++) {
+                        if (!live(i)) {
+                            channel.withdraw(i, true);
+                        }
+                    }
+                }
+            }
+            urgent.removeIf(p -> !p.joined || !channel.roomForUrgent(p));
+            if (urgent.isEmpty() && !turn) {
+                return;
+            }
+            weighCapacity();
+            if (turn) {
+                enter();
+            }
+            List<Proxy> known = new ArrayList<>();
+            List<double[]> targets = new ArrayList<>();
+            for (Proxy p : proxies.values()) {
+                if (p.joined && (p.bound || urgent.contains(p))) {
+                    known.add(p);
+                    targets.add(lineUp(p));
+                }
+            }
+            weigh(known, targets);
+            for (int k = 0; k < known.size(); k++) {
+                Proxy p = known.get(k);
+                if (urgent.contains(p)) {
+                    send(new Move(p, targets.get(k)), 1);
+                }
+            }
+            if (turn) {
+                rounds(known, targets);
+            }
+            urgent.clear();
+        }
+
+        /** Capacity of each task for this assigner's ops, in ops a second, from speeds read or listed weights. */
+        private void weighCapacity() {
+            capacity = new double[tasks];
+            double ops = 0;
+            for (Proxy p : proxies.values()) {
+                ops += p.joined ? p.ops : 0;
+            }
+            double filled = 0;
+            double carried = 0;
+            double read = 0;
+            double readListed = 0;
+            double allListed = 0;
+            for (int i = 0; i < tasks; i++) {
+                if (live(i)) {
+                    allListed += listed[i];
+                    if (speed[i] > 0) {
+                        filled += speed[i] * Math.max(BUSY_LEAST, busy[i]);
+                        carried += rate[i];
+                        read += speed[i];
+                        readListed += listed[i];
+                    }
+                }
+            }
+            double unit = filled > 0 && carried > 0 ? carried / filled : 0;
+            for (int i = 0; i < tasks; i++) {
+                if (!live(i)) {
+                    continue;
+                }
+                double full;
+                if (unit > 0) {
+                    full = unit * (speed[i] > 0 ? speed[i] : read * listed[i] / readListed);
+                } else {
+                    full = listed[i] / allListed * Math.max(1, ops) / USUAL_FILL;
+                }
+                capacity[i] = full * warmth(i);
+            }
+        }
+
+        private double badShare(int z, int i) {
+            return bad[z][i] / (tries[z][i] + 2);
+        }
+
+        /** The table that a proxy keeps: its lines, with what left swapped for live tasks, drawn when it has none. */
+        private double[] lineUp(Proxy p) {
+            double[] target = new double[tasks];
+            int count = 0;
+            double sum = 0;
+            for (int i = 0; i < tasks; i++) {
+                if (live(i) && p.line(i) > 0) {
+                    target[i] = p.line(i);
+                    sum += target[i];
+                    count++;
+                }
+            }
+            p.swap.forEach((from, to) -> {
+                if (live(from) && live(to) && p.line(from) > 0) {
+                    double part = capacity[to] / Math.max(1e-9, capacity[from]);
+                    target[to] = Math.max(LINE_LEAST, p.line(to) + p.line(from) * Math.min(1, part));
+                    target[from] = 0;
+                }
+            });
+            int wantedLines = Math.max(LINES_LEAST, set.standingLines());
+            double each = count == 0 ? 0 : sum / count;
+            while (count < wantedLines) {
+                int i = draw(p, target);
+                if (i < 0) {
+                    break;
+                }
+                target[i] = each > 0 ? Math.max(LINE_LEAST, (1 - sum) / Math.max(1, wantedLines - count))
+                        : capacity[i] * (zone[i] == p.zoneIndex ? 1 : 0.3);
+                count++;
+            }
+            normalise(target);
+            return target;
+        }
+
+        private int draw(Proxy p, double[] target) {
+            double all = 0;
+            for (int i = 0; i < tasks; i++) {
+                all += drawWeight(p, target, i);
+            }
+            double at = chance() * all;
+            for (int i = 0; i < tasks; i++) {
+                double w = drawWeight(p, target, i);
+                if (w > 0 && (at -= w) < 0) {
+                    return i;
+                }
+            }
+            return -1;
+        }
+
+        private double drawWeight(Proxy p, double[] target, int i) {
+            return !live(i) || target[i] > 0 ? 0
+                    : listed[i] * warmth(i) * (zone[i] == p.zoneIndex ? HOME_PULL : 1) * (1.02 - badShare(p.zoneIndex, i));
+        }
+
+        /** New and returned tasks take the most loaded line of a weight-drawn share of tables. */
+        private void enter() {
+            double allListed = 0;
+            for (int i = 0; i < tasks; i++) {
+                allListed += live(i) ? listed[i] : 0;
+            }
+            for (Proxy p : proxies.values()) {
+                if (p.joined && !p.bound) {
+                    // A table not known yet may name what returned cold: it stays withdrawn until all are known.
+                    return;
+                }
+            }
+            for (int e : entrants) {
+                if (!live(e)) {
+                    continue;
+                }
+                channel.withdraw(e, false);
+                for (Proxy p : proxies.values()) {
+                    if (!p.joined || !p.bound || p.line(e) > 0) {
+                        continue;
+                    }
+                    int count = 0;
+                    int most = -1;
+                    for (int i = 0; i < tasks; i++) {
+                        if (live(i) && p.line(i) > 0) {
+                            count++;
+                            if (most < 0 || fill(i) > fill(most)) {
+                                most = i;
+                            }
+                        }
+                    }
+                    double home = zone[e] == p.zoneIndex ? 2 : 0.5;
+                    if (most >= 0 && chance() < home * count * listed[e] / allListed) {
+                        p.swap.put(most, e);
+                    }
+                }
+            }
+            entrants.clear();
+        }
+
+        private double fill(int i) {
+            return rate[i] / Math.max(1e-9, capacity[i]);
+        }
+
+        /** Weights of the lines: ops flow to where the next one loses least, crossing zones at its price. */
+        private void weigh(List<Proxy> known, List<double[]> targets) {
+            double[] load = new double[tasks];
+            for (int k = 0; k < known.size(); k++) {
+                for (int i = 0; i < tasks; i++) {
+                    load[i] += known.get(k).ops * targets.get(k)[i];
+                }
+            }
+            for (int round = 0; round < WEIGHING_ROUNDS; round++) {
+                double steep = 1;
+                for (int i = 0; i < tasks; i++) {
+                    if (capacity[i] > 0) {
+                        double f = Math.min(1.2, load[i] / capacity[i]);
+                        steep = Math.max(steep, LOSS_POWER * (LOSS_POWER + 1) * Math.pow(f, LOSS_POWER) / 2);
+                    }
+                }
+                double step = 0.5 / steep;
+                for (int k = 0; k < known.size(); k++) {
+                    Proxy p = known.get(k);
+                    double[] t = targets.get(k);
+                    double[] price = new double[tasks];
+                    double mean = 0;
+                    for (int i = 0; i < tasks; i++) {
+                        if (t[i] > 0) {
+                            double f = Math.min(1.2, load[i] / Math.max(1e-9, capacity[i]));
+                            price[i] = (LOSS_POWER + 1) * Math.pow(f, LOSS_POWER) / 2
+                                    + (zone[i] == p.zoneIndex ? 0 : set.crossZonePrice())
+                                    + FAIL_PRICE * badShare(p.zoneIndex, i);
+                            mean += t[i] * price[i];
+                        }
+                    }
+                    for (int i = 0; i < tasks; i++) {
+                        load[i] -= p.ops * t[i];
+                        if (t[i] > 0) {
+                            t[i] = Math.max(LINE_LEAST, t[i] * Math.exp(-step * (price[i] - mean)));
+                        }
+                    }
+                    normalise(t);
+                    for (int i = 0; i < tasks; i++) {
+                        load[i] += p.ops * t[i];
+                    }
+                }
+            }
+        }
+
+        /** Rounds of moves: sorted by potential time, then traffic, each admitted only where its targets have room. */
+        private void rounds(List<Proxy> known, List<double[]> targets) {
+            moving.removeIf(f -> now - f.at > SHOWS_AFTER);
+            double[] room = headroom();
+            List<Move> moves = new ArrayList<>();
+            for (int k = 0; k < known.size(); k++) {
+                Proxy p = known.get(k);
+                if (urgent.contains(p)) {
+                    continue;
+                }
+                double change = 0;
+                for (int i = 0; i < tasks; i++) {
+                    change += Math.abs(targets.get(k)[i] - p.line(i)) / 2;
+                }
+                if (change >= MOVE_LEAST || !p.swap.isEmpty()) {
+                    moves.add(new Move(p, targets.get(k)));
+                }
+            }
+            if (moves.isEmpty()) {
+                return;
+            }
+            for (Move m : moves) {
+                potential(m, moves, room);
+            }
+            moves.sort(Comparator.<Move>comparingDouble(m -> -m.potential).thenComparingDouble(m -> -m.proxy.ops)
+                    .thenComparingInt(m -> m.proxy.id.number()));
+            boolean admitted = false;
+            for (Move m : moves) {
+                if (channel.roomForRoutine(m.proxy) && fits(m, room, 1)) {
+                    take(m, room, 1);
+                    send(m, 1);
+                    admitted = true;
+                }
+            }
+            boolean awaiting = false;
+            for (Freed f : moving) {
+                awaiting |= !f.answered && now - f.at < CREDIT_WAIT;
+            }
+            if (admitted || awaiting) {
+                return;
+            }
+            // Deadlock: the move that yields least goes with the part that fits.
+            Move least = null;
+            double leastRatio = 1;
+            for (Move m : moves) {
+                double ratio = yieldRatio(m, room);
+                if (ratio < leastRatio && channel.roomForRoutine(m.proxy)) {
+                    least = m;
+                    leastRatio = ratio;
+                }
+            }
+            if (least != null) {
+                take(least, room, 1 - leastRatio);
+                send(least, 1 - leastRatio);
+            }
+        }
+
+        private double[] headroom() {
+            double[] room = new double[tasks];
+            double all = 0;
+            double allCapacity = 0;
+            int heardTasks = 0;
+            for (int i = 0; i < tasks; i++) {
+                if (live(i)) {
+                    all += rate[i];
+                    allCapacity += capacity[i];
+                    heardTasks += heardSince[i] >= 0 ? 1 : 0;
+                }
+            }
+            for (int i = 0; i < tasks; i++) {
+                if (live(i)) {
+                    double load = heardSince[i] >= 0 || heardTasks == 0 ? rate[i] : all / heardTasks * warmth(i);
+                    double r = capacity[i] / allCapacity * all / FILL - load;
+                    double heardFor = heardSince[i] < 0 ? 0 : now - heardSince[i];
+                    double opening = started[i] <= 0 || heardFor >= OPENING ? 1
+                            : OPENING_SHARE + (1 - OPENING_SHARE) * heardFor / OPENING;
+                    room[i] = r > 0 ? r * opening : r;
+                }
+            }
+            for (Freed f : moving) {
+                boolean credited = f.answered || now - f.at >= CREDIT_WAIT;
+                for (int j = 0; j < f.at0.length; j++) {
+                    if (f.part[j] > 0 || credited) {
+                        room[f.at0[j]] -= f.part[j];
+                    }
+                }
+            }
+            return room;
+        }
+
+        private boolean fits(Move m, double[] room, double share) {
+            for (int i = 0; i < tasks; i++) {
+                double part = m.part(i) * share;
+                if (part > 1e-6 && part > room[i]) {
+                    return false;
+                }
+            }
+            return true;
+        }
+
+        private void take(Move m, double[] room, double share) {
+            for (int i = 0; i < tasks; i++) {
+                room[i] -= Math.max(0, m.part(i) * share);
+            }
+        }
+
+        private double yieldRatio(Move m, double[] room) {
+            double traffic = 0;
+            double least = Double.MAX_VALUE;
+            for (int i = 0; i < tasks; i++) {
+                if (m.part(i) > 1e-6) {
+                    traffic = Math.max(traffic, m.part(i));
+                    least = Math.min(least, room[i] / m.part(i));
+                }
+            }
+            return traffic <= 0 ? 1 : 1 - Math.min(1, least);
+        }
+
+        /** A move's own time and the deepest of the moves that wait for room where it frees some. */
+        private double potential(Move m, List<Move> moves, double[] room) {
+            if (m.open) {
+                return CYCLE;
+            }
+            if (m.potential >= 0) {
+                return m.potential;
+            }
+            m.open = true;
+            double deepest = 0;
+            for (Move w : moves) {
+                if (w != m && waitsFor(w, m, room)) {
+                    deepest = Math.max(deepest, potential(w, moves, room));
+                }
+            }
+            m.open = false;
+            m.potential = Math.min(CYCLE, m.ownTime() + deepest);
+            return m.potential;
+        }
+
+        private boolean waitsFor(Move w, Move m, double[] room) {
+            for (int i = 0; i < tasks; i++) {
+                if (m.part(i) < -1e-6 && w.part(i) > 1e-6 && w.part(i) > room[i]) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
+        /** Orders a move, or the given share of it, and books the load that it shifts. */
+        private void send(Move m, double share) {
+            Proxy p = m.proxy;
+            double[] next = new double[tasks];
+            int[] where = new int[tasks];
+            double[] part = new double[tasks];
+            int n = 0;
+            for (int i = 0; i < tasks; i++) {
+                double want = live(i) ? p.line(i) + share * (m.target[i] - p.line(i)) : 0;
+                want = Math.round(want * 1000) / 1000.0;
+                next[i] = p.line(i);
+                if (differs(want, p.line(i))) {
+                    channel.line(p, i, want);
+                    next[i] = want;
+                    where[n] = i;
+                    part[n++] = p.ops * (want - (p.bound ? p.line(i) : 0));
+                }
+            }
+            p.lines = next;
+            if (share >= 1) {
+                p.swap.clear();
+            }
+            if (!p.bound) {
+                p.bound = true;
+                p.wanted = false;
+                channel.bind(p);
+            } else if (n == 0) {
+                return;
+            }
+            Freed f = new Freed(channel.mark(), now, Arrays.copyOf(where, n), Arrays.copyOf(part, n));
+            p.freed.add(f);
+            moving.add(f);
+        }
+
+        private void normalise(double[] t) {
+            double sum = 0;
+            for (double w : t) {
+                sum += w;
+            }
+            for (int i = 0; i < t.length && sum > 0; i++) {
+                t[i] /= sum;
+            }
+        }
+    }
+
+    // ---- The channel: what goes out, how much may wait, and what was answered.
+
+    private final class Channel {
+        private final ArrayList<Order> first = new ArrayList<>();
+        private final ArrayList<Order> lines = new ArrayList<>();
+        private final ArrayList<Order> binds = new ArrayList<>();
+        private final ArrayList<Order> others = new ArrayList<>();
+        private final TreeMap<Integer, Integer> touched = new TreeMap<>();
+        private int mark = 1;
+        private long emptyAt;
+        private boolean retriesSet;
+
+        int mark() {
+            return mark;
+        }
+
+        void other(Order order) {
+            others.add(order);
+        }
+
+        void withdraw(int i, boolean leaves) {
+            if (!leaves && !out[i]) {
+                return;
+            }
+            out[i] = leaves;
+            first.add(new Order.Withdraw(task[i].id, leaves));
+            for (Proxy p : proxies.values()) {
+                if (p.joined && (!p.bound || p.line(i) > 0)) {
+                    touched.merge(p.id.number(), 1, Integer::sum);
+                }
+            }
+        }
+
+        void line(Proxy p, int i, double weight) {
+            lines.add(new Order.SetLine(p.table(), task[i].id, weight));
+            if (p.bound) {
+                touched.merge(p.id.number(), 1, Integer::sum);
+            }
+        }
+
+        void bind(Proxy p) {
+            binds.add(new Order.Bind(p.table(), p.id, 0));
+            int count = 3;
+            for (double w : p.lines) {
+                count += w > 0 ? 1 : 0;
+            }
+            touched.merge(p.id.number(), count, Integer::sum);
+        }
+
+        private int recent(Proxy p) {
+            while (!p.messages.isEmpty() && now - p.messages.peek() > set.messagesOver()) {
+                p.messages.poll();
+            }
+            return p.messages.size();
+        }
+
+        boolean roomForUrgent(Proxy p) {
+            return set.messagesMost() == 0 || recent(p) < set.messagesMost() - 2;
+        }
+
+        /** Routine orders leave most of the channel and of a proxy's messages to drains and empty tables. */
+        boolean roomForRoutine(Proxy p) {
+            double slowRate = set.linesPerSecond() / CHANNEL_SLOW;
+            double queued = Math.max(0, emptyAt - now) * slowRate / Tenths.SECOND;
+            for (int n : touched.values()) {
+                queued += n + set.messageHead();
+            }
+            return queued < ROUTINE_LINES * set.backlogLines()
+                    && (set.messagesMost() == 0 || recent(p) < ROUTINE_MESSAGES * set.messagesMost());
+        }
+
+        List<Order> flush() {
+            if (!retriesSet) {
+                retriesSet = true;
+                int again = 0;
+                int rest = 0;
+                for (int k = 0; k < set.opTypes().size(); k++) {
+                    if (set.opTypes().get(k).repeat() == OpType.Repeat.RETRYABLE) {
+                        again |= 1 << k;
+                    } else {
+                        rest |= 1 << k;
+                    }
+                }
+                double all = set.levelKind() == Settings.LevelKind.RATE ? 1e6 : 1;
+                if (again != 0) {
+                    first.add(new Order.Admit(Order.EVERY_TABLE, again, Order.Retry.ONCE_ON_FAILURE, all));
+                }
+                if (rest != 0) {
+                    first.add(new Order.Admit(Order.EVERY_TABLE, rest, Order.Retry.ON_PROOF, all));
+                }
+            }
+            List<Order> orders = new ArrayList<>(others);
+            orders.addAll(first);
+            orders.addAll(lines);
+            orders.addAll(binds);
+            if (!touched.isEmpty()) {
+                orders.add(new Order.Mark(new MarkId(mark), false));
+                mark = mark % 65_000 + 1;
+                long queued = 0;
+                for (Map.Entry<Integer, Integer> t : touched.entrySet()) {
+                    queued += t.getValue() + 1 + set.messageHead();
+                    proxies.get(t.getKey()).messages.add(now);
+                }
+                double slowRate = set.linesPerSecond() / CHANNEL_SLOW;
+                emptyAt = Math.max(emptyAt, now) + (long) (queued * Tenths.SECOND / slowRate);
+            }
+            others.clear();
+            first.clear();
+            lines.clear();
+            binds.clear();
+            touched.clear();
+            return orders;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/stonespring/model/Event.java
@@ -0,0 +1,46 @@
+package stonespring.model;
+
+import java.util.List;
+
+/** What an assigner is told. Spans and durations are in tenths of a millisecond. */
+public sealed interface Event {
+    /** How a list event relates to the list that the assigner holds. */
+    enum ListKind { CHANGES, WHOLE, LAST_SEEN, FAILED }
+
+    record ListTold(ListKind kind, List<Listing> entries) implements Event {
+    }
+
+    record PeerSaid(PeerId from, byte[] bytes) implements Event {
+    }
+
+    record ProxyJoined(ProxyId proxy, ZoneId zone, double opsPerSecond, boolean fresh) implements Event {
+    }
+
+    record ProxyLeft(ProxyId proxy) implements Event {
+    }
+
+    record ProxyOps(ProxyId proxy, OpTypeId opType, long ops, long unanswered, long span) implements Event {
+    }
+
+    record SliceOps(TableId slice, OpTypeId opType, long ops, long unanswered, long span) implements Event {
+    }
+
+    record SliceGiven(TableId slice, boolean inCharge) implements Event {
+    }
+
+    record SliceLine(TableId slice, TaskId task, double weight) implements Event {
+    }
+
+    record TaskSums(TaskId task, ZoneId from, long tries, long bad, long span, long goodLatency,
+                    LoadReport report) implements Event {
+    }
+
+    record Probed(TaskId task, boolean good, long took, LoadReport report) implements Event {
+    }
+
+    record Answered(ProxyId proxy, MarkId mark, long took) implements Event {
+    }
+
+    record TimerDue(TimerToken token) implements Event {
+    }
+}
--- /dev/null
+++ b/src/main/java/stonespring/model/MarkId.java
@@ -0,0 +1,5 @@
+package stonespring.model;
+
+/** The number that proxies' answers carry back. */
+public record MarkId(int number) {
+}
--- /dev/null
+++ b/src/main/java/stonespring/model/OpTypeId.java
@@ -0,0 +1,5 @@
+package stonespring.model;
+
+/** An op type, by its position in the settings. */
+public record OpTypeId(int index) {
+}
--- /dev/null
+++ b/src/main/java/stonespring/model/ZoneId.java
@@ -0,0 +1,5 @@
+package stonespring.model;
+
+/** A zone, by its position in the settings. */
+public record ZoneId(int index) {
+}
