--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -1065,7 +1065,7 @@
                 }
                 double all = set.levelKind() == Settings.LevelKind.RATE ? 1e6 : 1;
                 if (again != 0) {
-                    first.add(new Order.Admit(Order.EVERY_TABLE, again, Order.Retry.ONCE_ON_FAILURE, all));
+                    first.add(new Order.Admit(Order.EVERY_TABLE, again, Order.Retry.ON_PROOF, all));
                 }
                 if (rest != 0) {
                     first.add(new Order.Admit(Order.EVERY_TABLE, rest, Order.Retry.ON_PROOF, all));
