--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -15,7 +15,6 @@
 import stonespring.model.Listing;
 import stonespring.model.LoadReport;
 import stonespring.model.MarkId;
-import stonespring.model.OpType;
 import stonespring.model.Order;
 import stonespring.model.ProxyId;
 import stonespring.model.Settings;
@@ -77,6 +76,18 @@
     private static final double ROUTINE_MESSAGES = 0.5;
     /** Bad share above which a task counts as down, and from which it is cold when it answers again. */
     private static final double DOWN_SHARE = 0.8;
+    /** Bad share of tries under which a moment counts as calm, so that capacity can be read from what was carried. */
+    private static final double CALM = 0.1;
+    /** Weight of a new reading of what all tasks carry, share: some five readings. */
+    private static final double UNIT_STEP = 0.2;
+    /** Share of their capacity that ops may fill before the rest is rejected: above it queues outgrow the targets. */
+    private static final double ADMIT_FILL = 0.92;
+    /** Least level, share: some ops must come in to show whether tasks still work. */
+    private static final double LEVEL_LEAST = 0.05;
+    /** Smallest change of a level worth a message to every proxy, share. */
+    private static final double LEVEL_STEP = 0.05;
+    /** Tries that a cold task may be sent, in what it surely can do: a third of the usual limit, as chance clusters. */
+    private static final double COLD_FILL = 1;
     /** Tenths of a ms between attempts to follow the list at first; doubles up to the last one. */
     private static final long FOLLOW_RETRY = Tenths.SECOND / 2;
     private static final long FOLLOW_RETRY_MOST = 4 * Tenths.SECOND;
@@ -221,6 +232,22 @@
         return Math.min(1, set.coldShare() + (1 - set.coldShare()) * age);
     }
 
+    private double allTries(int i) {
+        double sum = 0;
+        for (double[] of : tries) {
+            sum += of[i];
+        }
+        return sum;
+    }
+
+    private double allBad(int i) {
+        double sum = 0;
+        for (double[] of : bad) {
+            sum += of[i];
+        }
+        return sum;
+    }
+
     // ---- A task.
 
     private final class Task extends Part {
@@ -315,19 +342,14 @@
             double raw = Double.NaN;
             if (r.workMs() > 0) {
                 raw = 1 / r.workMs();
-            } else if (busy[index] > BUSY_LEAST && warmth(index) >= 1) {
+            } else if (busy[index] > BUSY_LEAST && warmth(index) >= 1 && allBad(index) < CALM * allTries(index)) {
                 raw = (r.opsPerSecond() > 0 ? r.opsPerSecond() : rate[index]) / busy[index];
             }
             if (raw > 0) {
                 speed[index] = Double.isNaN(speed[index]) ? raw : speed[index] + SPEED_STEP * (raw - speed[index]);
             }
-            double allTries = 0;
-            double allBad = 0;
-            for (int k = 0; k < bad.length; k++) {
-                allTries += tries[k][index];
-                allBad += bad[k][index];
-            }
-            if (allTries >= 3 && allBad / allTries > DOWN_SHARE) {
+            double allTries = allTries(index);
+            if (allTries >= 3 && allBad(index) / allTries > DOWN_SHARE) {
                 down[index] = true;
             } else if (down[index] && e.bad() * 2 < e.tries()) {
                 // What was down for all and answers again may have started again: cold until the list says more.
@@ -524,6 +546,10 @@
         private long lastTurn = Long.MIN_VALUE / 2;
         private int turns;
         private double[] capacity = new double[0];
+        private double unit;
+        private double demand;
+        private double triesPerOp = 1;
+        private double level = 1;
 
         @Override
         void on(Note note) {
@@ -591,6 +617,7 @@
                 }
             }
             weigh(known, targets);
+            capCold(known, targets);
             for (int k = 0; k < known.size(); k++) {
                 Proxy p = known.get(k);
                 if (urgent.contains(p)) {
@@ -598,6 +625,7 @@
                 }
             }
             if (turn) {
+                levels();
                 rounds(known, targets);
             }
             urgent.clear();
@@ -615,9 +643,18 @@
             double read = 0;
             double readListed = 0;
             double allListed = 0;
+            double sent = 0;
+            double lost = 0;
+            int joined = 0;
+            for (Proxy p : proxies.values()) {
+                joined += p.joined ? 1 : 0;
+            }
+            double share = set.assigners() == 1 ? 1 : Math.min(1, (double) joined / set.proxies());
             for (int i = 0; i < tasks; i++) {
                 if (live(i)) {
                     allListed += listed[i];
+                    sent += allTries(i);
+                    lost += allBad(i);
                     if (speed[i] > 0) {
                         filled += speed[i] * Math.max(BUSY_LEAST, busy[i]);
                         carried += rate[i];
@@ -626,14 +663,20 @@
                     }
                 }
             }
-            double unit = filled > 0 && carried > 0 ? carried / filled : 0;
+            triesPerOp = Math.max(1, sent * Math.log(2) / HALF_LIFE * Tenths.SECOND / Math.max(1, ops));
+            // What is carried tells a capacity only in calm: in a jam tries are refused unworked or worked in vain.
+            if (filled > 0 && carried > 0 && share > 0 && (unit == 0 || lost < CALM * sent)) {
+                double seen = carried * (1 - lost / Math.max(1, sent)) / filled / share;
+                unit = unit == 0 ? seen : unit + UNIT_STEP * (seen - unit);
+            }
+            demand = ops;
             for (int i = 0; i < tasks; i++) {
                 if (!live(i)) {
                     continue;
                 }
                 double full;
-                if (unit > 0) {
-                    full = unit * (speed[i] > 0 ? speed[i] : read * listed[i] / readListed);
+                if (unit > 0 && read > 0) {
+                    full = unit * share * (speed[i] > 0 ? speed[i] : read * listed[i] / readListed);
                 } else {
                     full = listed[i] / allListed * Math.max(1, ops) / USUAL_FILL;
                 }
@@ -641,6 +684,39 @@
             }
         }
 
+        /** A cold task falls over for all when too much is tried there, whoever refuses it: its lines stay under that. */
+        private void capCold(List<Proxy> known, List<double[]> targets) {
+            for (int i = 0; i < tasks; i++) {
+                if (!live(i) || warmth(i) >= 1) {
+                    continue;
+                }
+                double load = 0;
+                for (int k = 0; k < known.size(); k++) {
+                    load += known.get(k).ops * triesPerOp * targets.get(k)[i];
+                }
+                double most = COLD_FILL * capacity[i];
+                for (int k = 0; k < known.size() && load > most; k++) {
+                    targets.get(k)[i] = Math.max(0.001, targets.get(k)[i] * most / load);
+                }
+            }
+        }
+
+        /** Levels: what the tasks can't carry is rejected at once, the op types of least benefit first. */
+        private void levels() {
+            if (set.levelKind() != Settings.LevelKind.SHARE || demand <= 0) {
+                return;
+            }
+            double all = 0;
+            for (int i = 0; i < tasks; i++) {
+                all += capacity[i];
+            }
+            double want = unit > 0 ? Math.max(LEVEL_LEAST, Math.min(1, ADMIT_FILL * all / demand)) : 1;
+            if (want < 1 && Math.abs(want - level) > LEVEL_STEP * level || want == 1 && level < 1) {
+                level = want;
+                channel.admit(level);
+            }
+        }
+
         private double badShare(int z, int i) {
             return bad[z][i] / (tries[z][i] + 2);
         }
@@ -1051,25 +1127,22 @@
                     && (set.messagesMost() == 0 || recent(p) < ROUTINE_MESSAGES * set.messagesMost());
         }
 
+        /** Ways of trying again stand with the level: on proof that no try ran, and never when there is too much. */
+        void admit(double level) {
+            double value = set.levelKind() == Settings.LevelKind.RATE ? 1e6 : level;
+            first.add(new Order.Admit(Order.EVERY_TABLE, 0,
+                    level < 1 ? Order.Retry.NEVER : Order.Retry.ON_PROOF, value));
+            for (Proxy p : proxies.values()) {
+                if (p.joined) {
+                    touched.merge(p.id.number(), 1, Integer::sum);
+                }
+            }
+        }
+
         List<Order> flush() {
             if (!retriesSet) {
                 retriesSet = true;
-                int again = 0;
-                int rest = 0;
-                for (int k = 0; k < set.opTypes().size(); k++) {
-                    if (set.opTypes().get(k).repeat() == OpType.Repeat.RETRYABLE) {
-                        again |= 1 << k;
-                    } else {
-                        rest |= 1 << k;
-                    }
-                }
-                double all = set.levelKind() == Settings.LevelKind.RATE ? 1e6 : 1;
-                if (again != 0) {
-                    first.add(new Order.Admit(Order.EVERY_TABLE, again, Order.Retry.ON_PROOF, all));
-                }
-                if (rest != 0) {
-                    first.add(new Order.Admit(Order.EVERY_TABLE, rest, Order.Retry.ON_PROOF, all));
-                }
+                admit(1);
             }
             List<Order> orders = new ArrayList<>(others);
             orders.addAll(first);
