--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -60,6 +60,8 @@
     private static final double LOSS_POWER = 6;
     /** Half-life of sums in tenths of a ms: two periods, to follow trouble within a few seconds yet smooth noise. */
     private static final long HALF_LIFE = 2 * Tenths.SECOND;
+    /** Tenths of a ms without a line until what was heard fades: sums may come so late. */
+    private static final long FADE_AFTER = 4 * Tenths.SECOND;
     /** Fill of tasks that nothing was heard of, share: an ordinary day's. */
     private static final double USUAL_FILL = 0.6;
     /** Least busy share from which a task's speed is read: under it the report's noise rules. */
@@ -166,6 +168,8 @@
     private boolean[] out = new boolean[32];
     private double[][] bad;
     private double[][] tries;
+    private double[][] zoneRate;
+    private long[][] lastLine;
 
     public Assigner(Settings settings, long seed, long now) {
         this.set = settings;
@@ -173,6 +177,8 @@
         this.now = now;
         this.bad = new double[settings.zones()][32];
         this.tries = new double[settings.zones()][32];
+        this.zoneRate = new double[settings.zones()][32];
+        this.lastLine = new long[settings.zones()][32];
     }
 
     @Override
@@ -273,6 +279,8 @@
                 for (int z = 0; z < bad.length; z++) {
                     bad[z] = Arrays.copyOf(bad[z], size);
                     tries[z] = Arrays.copyOf(tries[z], size);
+                    zoneRate[z] = Arrays.copyOf(zoneRate[z], size);
+                    lastLine[z] = Arrays.copyOf(lastLine[z], size);
                 }
             }
             task[index] = this;
@@ -289,6 +297,8 @@
             for (int z = 0; z < bad.length; z++) {
                 bad[z][index] = 0;
                 tries[z][index] = 0;
+                zoneRate[z][index] = 0;
+                lastLine[z][index] = 0;
             }
         }
 
@@ -332,8 +342,11 @@
             if (heardSince[index] < 0) {
                 heardSince[index] = now;
             }
+            double seen = e.tries() * Tenths.SECOND / span;
             bad[z][index] = bad[z][index] * keep + e.bad();
             tries[z][index] = tries[z][index] * keep + e.tries();
+            zoneRate[z][index] = lastLine[z][index] == 0 ? seen : zoneRate[z][index] * keep + (1 - keep) * seen;
+            lastLine[z][index] = now;
             LoadReport r = e.report();
             if (!Double.isNaN(r.busyShare())) {
                 busy[index] = Double.isNaN(busy[index]) ? r.busyShare()
@@ -343,7 +356,7 @@
             if (r.workMs() > 0) {
                 raw = 1 / r.workMs();
             } else if (busy[index] > BUSY_LEAST && warmth(index) >= 1 && allBad(index) < CALM * allTries(index)) {
-                raw = (r.opsPerSecond() > 0 ? r.opsPerSecond() : rate[index]) / busy[index];
+                raw = (r.opsPerSecond() > 0 ? r.opsPerSecond() : Math.max(0, rate[index])) / busy[index];
             }
             if (raw > 0) {
                 speed[index] = Double.isNaN(speed[index]) ? raw : speed[index] + SPEED_STEP * (raw - speed[index]);
@@ -356,7 +369,6 @@
                 down[index] = false;
                 started[index] = Math.max(started[index], now - Tenths.SECOND);
             }
-            rate[index] = allTries * Math.log(2) / HALF_LIFE * Tenths.SECOND;
             post(planner, new Heard());
         }
     }
@@ -577,7 +589,7 @@
         void plan() {
             boolean turn = heard && now - lastTurn >= set.sumsEvery() * 9 / 10;
             if (turn) {
-                heard = false;
+                settleSums();
                 lastTurn = now;
                 turns++;
             }
@@ -631,6 +643,23 @@
             urgent.clear();
         }
 
+        /** Sums up a turn's rates; a line's span says since when it counts, so what sent no line only fades. */
+        private void settleSums() {
+            double keep = Math.pow(0.5, (double) set.sumsEvery() / HALF_LIFE);
+            for (int i = 0; i < tasks; i++) {
+                rate[i] = 0;
+                for (int z = 0; z < bad.length; z++) {
+                    if (now - lastLine[z][i] > FADE_AFTER + set.sumsEvery()) {
+                        bad[z][i] *= keep;
+                        tries[z][i] *= keep;
+                        zoneRate[z][i] *= keep;
+                    }
+                    rate[i] += zoneRate[z][i];
+                }
+            }
+            heard = false;
+        }
+
         /** Capacity of each task for this assigner's ops, in ops a second, from speeds read or listed weights. */
         private void weighCapacity() {
             capacity = new double[tasks];
@@ -644,6 +673,7 @@
             double readListed = 0;
             double allListed = 0;
             double sent = 0;
+            double sentRate = 0;
             double lost = 0;
             int joined = 0;
             for (Proxy p : proxies.values()) {
@@ -655,6 +685,7 @@
                     allListed += listed[i];
                     sent += allTries(i);
                     lost += allBad(i);
+                    sentRate += rate[i];
                     if (speed[i] > 0) {
                         filled += speed[i] * Math.max(BUSY_LEAST, busy[i]);
                         carried += rate[i];
@@ -663,7 +694,7 @@
                     }
                 }
             }
-            triesPerOp = Math.max(1, sent * Math.log(2) / HALF_LIFE * Tenths.SECOND / Math.max(1, ops));
+            triesPerOp = Math.max(1, sentRate / Math.max(1, ops));
             // What is carried tells a capacity only in calm: in a jam tries are refused unworked or worked in vain.
             if (filled > 0 && carried > 0 && share > 0 && (unit == 0 || lost < CALM * sent)) {
                 double seen = carried * (1 - lost / Math.max(1, sent)) / filled / share;
