--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -1,6 +1,7 @@
 package stonespring.decision;
 
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -16,6 +17,7 @@
 import stonespring.model.LoadReport;
 import stonespring.model.MarkId;
 import stonespring.model.Order;
+import stonespring.model.PeerId;
 import stonespring.model.ProxyId;
 import stonespring.model.Settings;
 import stonespring.model.TableId;
@@ -66,8 +68,14 @@
     private static final double USUAL_FILL = 0.6;
     /** Least busy share from which a task's speed is read: under it the report's noise rules. */
     private static final double BUSY_LEAST = 0.15;
-    /** Weight of a new reading of speed, share: some ten readings, as reports carry a tenth of noise. */
-    private static final double SPEED_STEP = 0.15;
+    /** Weight of a new reading of an op's cost, share: some twenty readings, as reports carry a tenth of noise. */
+    private static final double COST_STEP = 0.05;
+    /** Tenths of a ms until what a peer said no longer counts: a few of its messages may be lost. */
+    private static final long PEER_STALE = 6 * Tenths.SECOND;
+    /** Bytes of a message to peers at most: the channel between them takes no more. */
+    private static final int PEER_BYTES = 256;
+    /** Tenths of a ms between messages to peers: they cost little, and loads don't change faster. */
+    private static final long PEER_EVERY = Tenths.SECOND;
     /** Turns with sums that an assigner waits before it touches tables that stand from before it started. */
     private static final int SETTLE_TURNS = 3;
     /** Times that the channel may run slower than told; the slowest seen so far and some. */
@@ -80,10 +88,12 @@
     private static final double DOWN_SHARE = 0.8;
     /** Bad share of tries under which a moment counts as calm, so that capacity can be read from what was carried. */
     private static final double CALM = 0.1;
-    /** Weight of a new reading of what all tasks carry, share: some five readings. */
-    private static final double UNIT_STEP = 0.2;
     /** Share of their capacity that ops may fill before the rest is rejected: above it queues outgrow the targets. */
     private static final double ADMIT_FILL = 0.92;
+    /** Busy share of all tasks under which nothing is rejected, whatever the reckoning: they have time left. */
+    private static final double SHED_FILL = 0.8;
+    /** Rise of a level per turn once the tasks have time again: all is let in within a few seconds. */
+    private static final double LEVEL_RISE = 1.15;
     /** Least level, share: some ops must come in to show whether tasks still work. */
     private static final double LEVEL_LEAST = 0.05;
     /** Smallest change of a level worth a message to every proxy, share. */
@@ -163,7 +173,10 @@
     private long[] heardSince = new long[32];
     private double[] rate = new double[32];
     private double[] busy = new double[32];
-    private double[] speed = new double[32];
+    private double[] cost = new double[32];
+    private int[] costReadings = new int[32];
+    private double[] told = new double[32];
+    private double[] others = new double[32];
     private boolean[] down = new boolean[32];
     private boolean[] out = new boolean[32];
     private double[][] bad;
@@ -197,6 +210,8 @@
             toProxy(e.proxy(), event);
         } else if (event instanceof Event.Answered e) {
             toProxy(e.proxy(), event);
+        } else if (event instanceof Event.PeerSaid) {
+            post(planner, new Told(event));
         } else if (event instanceof Event.ListTold || event instanceof Event.TimerDue) {
             post(roster, new Told(event));
         }
@@ -259,10 +274,14 @@
     private final class Task extends Part {
         private final TaskId id;
         private final int index;
+        private final int shortName;
 
         Task(TaskId id) {
             this.id = id;
             this.index = tasks++;
+            CRC32 crc = new CRC32();
+            crc.update(id.name().getBytes(StandardCharsets.UTF_8));
+            this.shortName = (int) (crc.getValue() & 0xffff);
             if (index == task.length) {
                 int size = 2 * index;
                 task = Arrays.copyOf(task, size);
@@ -273,7 +292,10 @@
                 heardSince = Arrays.copyOf(heardSince, size);
                 rate = Arrays.copyOf(rate, size);
                 busy = Arrays.copyOf(busy, size);
-                speed = Arrays.copyOf(speed, size);
+                cost = Arrays.copyOf(cost, size);
+                costReadings = Arrays.copyOf(costReadings, size);
+                told = Arrays.copyOf(told, size);
+                others = Arrays.copyOf(others, size);
                 down = Arrays.copyOf(down, size);
                 out = Arrays.copyOf(out, size);
                 for (int z = 0; z < bad.length; z++) {
@@ -292,7 +314,9 @@
             heardSince[index] = -1;
             rate[index] = 0;
             busy[index] = Double.NaN;
-            speed[index] = Double.NaN;
+            costReadings[index] = 0;
+            told[index] = Double.NaN;
+            others[index] = 0;
             down[index] = false;
             for (int z = 0; z < bad.length; z++) {
                 bad[z][index] = 0;
@@ -352,14 +376,9 @@
                 busy[index] = Double.isNaN(busy[index]) ? r.busyShare()
                         : busy[index] + (1 - keep) * (r.busyShare() - busy[index]);
             }
-            double raw = Double.NaN;
-            if (r.workMs() > 0) {
-                raw = 1 / r.workMs();
-            } else if (busy[index] > BUSY_LEAST && warmth(index) >= 1 && allBad(index) < CALM * allTries(index)) {
-                raw = (r.opsPerSecond() > 0 ? r.opsPerSecond() : Math.max(0, rate[index])) / busy[index];
-            }
-            if (raw > 0) {
-                speed[index] = Double.isNaN(speed[index]) ? raw : speed[index] + SPEED_STEP * (raw - speed[index]);
+            if (r.opsPerSecond() >= 0) {
+                told[index] = Double.isNaN(told[index]) ? r.opsPerSecond()
+                        : told[index] + (1 - keep) * (r.opsPerSecond() - told[index]);
             }
             double allTries = allTries(index);
             if (allTries >= 3 && allBad(index) / allTries > DOWN_SHARE) {
@@ -558,8 +577,12 @@
         private long lastTurn = Long.MIN_VALUE / 2;
         private int turns;
         private double[] capacity = new double[0];
-        private double unit;
         private double demand;
+        private double peerDemand;
+        private final TreeMap<Integer, Map<Integer, Integer>> peers = new TreeMap<>();
+        private final TreeMap<Integer, Long> peerTold = new TreeMap<>();
+        private long toldPeers = Long.MIN_VALUE / 2;
+        private long peerAt = Long.MIN_VALUE / 2;
         private double triesPerOp = 1;
         private double level = 1;
 
@@ -573,7 +596,54 @@
                 j.proxy().wanted = true;
             } else if (note instanceof Heard) {
                 heard = true;
+            } else if (note instanceof Told t && t.event() instanceof Event.PeerSaid said) {
+                peerSaid(said);
+            }
+        }
+
+        /** What a peer's proxies bring: all ops, then pairs of a task's short name and its ops, tenths a second. */
+        private void peerSaid(Event.PeerSaid said) {
+            ByteBuffer in = ByteBuffer.wrap(said.bytes());
+            if (in.remaining() < 2) {
+                return;
+            }
+            Map<Integer, Integer> heardOps = new HashMap<>();
+            heardOps.put(-1, in.getShort() & 0xffff);
+            while (in.remaining() >= 4) {
+                heardOps.put(in.getShort() & 0xffff, in.getShort() & 0xffff);
+            }
+            peers.put(said.from().number(), heardOps);
+            peerTold.put(said.from().number(), now);
+            peerAt = now;
+            sumPeers();
+        }
+
+        private void sumPeers() {
+            peerDemand = 0;
+            Arrays.fill(others, 0);
+            peers.forEach((from, ops) -> {
+                if (now - peerTold.get(from) < PEER_STALE) {
+                    peerDemand += ops.get(-1) / 10.0;
+                    for (int i = 0; i < tasks; i++) {
+                        others[i] += ops.getOrDefault(task[i].shortName, 0) / 10.0;
+                    }
+                }
+            });
+        }
+
+        private void tellPeers() {
+            if (!set.peers() || set.assigners() < 2 || now - toldPeers < PEER_EVERY) {
+                return;
+            }
+            toldPeers = now;
+            ByteBuffer text = ByteBuffer.allocate(PEER_BYTES);
+            text.putShort((short) Math.min(65_535, demand * 10));
+            for (int i = 0; i < tasks && text.remaining() >= 4; i++) {
+                if (live(i) && rate[i] >= 0.1) {
+                    text.putShort((short) task[i].shortName).putShort((short) Math.min(65_535, rate[i] * 10));
+                }
             }
+            channel.other(new Order.TellPeer(new PeerId(-1), Arrays.copyOf(text.array(), text.position())));
         }
 
         private void leave(int i) {
@@ -589,6 +659,7 @@
         void plan() {
             boolean turn = heard && now - lastTurn >= set.sumsEvery() * 9 / 10;
             if (turn) {
+                sumPeers();
                 settleSums();
                 lastTurn = now;
                 turns++;
@@ -638,6 +709,7 @@
             }
             if (turn) {
                 levels();
+                tellPeers();
                 rounds(known, targets);
             }
             urgent.clear();
@@ -656,62 +728,76 @@
                     }
                     rate[i] += zoneRate[z][i];
                 }
+                readCost(i);
             }
             heard = false;
         }
 
-        /** Capacity of each task for this assigner's ops, in ops a second, from speeds read or listed weights. */
-        private void weighCapacity() {
-            capacity = new double[tasks];
-            double ops = 0;
+        /** Busy time an op costs a task, from calm moments of a warm one: in a jam tries are refused or in vain. */
+        private void readCost(int i) {
+            double total = total(i);
+            if (busy[i] > BUSY_LEAST && total > 1 && warmth(i) >= 1 && allBad(i) < CALM * allTries(i)) {
+                double step = Math.max(COST_STEP, 1.0 / ++costReadings[i]);
+                cost[i] = costReadings[i] == 1 ? busy[i] / total : cost[i] + step * (busy[i] / total - cost[i]);
+            }
+        }
+
+        /** Ops a second that all proxies bring a task: told by it, or heard here and from peers. */
+        private double total(int i) {
+            if (!Double.isNaN(told[i])) {
+                return Math.max(told[i], rate[i]);
+            }
+            return peersHeard() ? rate[i] + others[i] : rate[i] / share();
+        }
+
+        private boolean peersHeard() {
+            return now - peerAt < PEER_STALE;
+        }
+
+        /** This assigner's part of all traffic: by what peers say, else by its part of the proxies. */
+        private double share() {
+            if (set.assigners() == 1) {
+                return 1;
+            }
+            if (peersHeard()) {
+                return Math.max(0.01, demand / Math.max(0.01, demand + peerDemand));
+            }
+            int joined = 0;
             for (Proxy p : proxies.values()) {
-                ops += p.joined ? p.ops : 0;
+                joined += p.joined ? 1 : 0;
             }
-            double filled = 0;
-            double carried = 0;
+            return Math.max(0.01, Math.min(1, (double) joined / set.proxies()));
+        }
+
+        /** Capacity of each task in ops a second: from the busy time of its ops, else listed weight and the average. */
+        private void weighCapacity() {
+            capacity = new double[tasks];
             double read = 0;
             double readListed = 0;
             double allListed = 0;
             double sent = 0;
-            double sentRate = 0;
-            double lost = 0;
-            int joined = 0;
+            demand = 0;
             for (Proxy p : proxies.values()) {
-                joined += p.joined ? 1 : 0;
+                demand += p.joined ? p.ops : 0;
             }
-            double share = set.assigners() == 1 ? 1 : Math.min(1, (double) joined / set.proxies());
             for (int i = 0; i < tasks; i++) {
                 if (live(i)) {
                     allListed += listed[i];
-                    sent += allTries(i);
-                    lost += allBad(i);
-                    sentRate += rate[i];
-                    if (speed[i] > 0) {
-                        filled += speed[i] * Math.max(BUSY_LEAST, busy[i]);
-                        carried += rate[i];
-                        read += speed[i];
+                    sent += rate[i];
+                    if (costReadings[i] > 0) {
+                        read += 1 / cost[i];
                         readListed += listed[i];
                     }
                 }
             }
-            triesPerOp = Math.max(1, sentRate / Math.max(1, ops));
-            // What is carried tells a capacity only in calm: in a jam tries are refused unworked or worked in vain.
-            if (filled > 0 && carried > 0 && share > 0 && (unit == 0 || lost < CALM * sent)) {
-                double seen = carried * (1 - lost / Math.max(1, sent)) / filled / share;
-                unit = unit == 0 ? seen : unit + UNIT_STEP * (seen - unit);
-            }
-            demand = ops;
+            triesPerOp = Math.max(1, sent / Math.max(1, demand));
             for (int i = 0; i < tasks; i++) {
-                if (!live(i)) {
-                    continue;
-                }
-                double full;
-                if (unit > 0 && read > 0) {
-                    full = unit * share * (speed[i] > 0 ? speed[i] : read * listed[i] / readListed);
-                } else {
-                    full = listed[i] / allListed * Math.max(1, ops) / USUAL_FILL;
+                if (live(i)) {
+                    double full = costReadings[i] > 0 ? 1 / cost[i]
+                            : read > 0 ? read * listed[i] / readListed
+                            : listed[i] / allListed * Math.max(1, demand / share()) / USUAL_FILL;
+                    capacity[i] = full * warmth(i);
                 }
-                capacity[i] = full * warmth(i);
             }
         }
 
@@ -725,7 +811,7 @@
                 for (int k = 0; k < known.size(); k++) {
                     load += known.get(k).ops * triesPerOp * targets.get(k)[i];
                 }
-                double most = COLD_FILL * capacity[i];
+                double most = COLD_FILL * capacity[i] * share();
                 for (int k = 0; k < known.size() && load > most; k++) {
                     targets.get(k)[i] = Math.max(0.001, targets.get(k)[i] * most / load);
                 }
@@ -738,10 +824,18 @@
                 return;
             }
             double all = 0;
+            double filled = 0;
+            double reported = 0;
             for (int i = 0; i < tasks; i++) {
                 all += capacity[i];
+                if (capacity[i] > 0 && busy[i] >= 0) {
+                    filled += capacity[i] * busy[i];
+                    reported += capacity[i];
+                }
             }
-            double want = unit > 0 ? Math.max(LEVEL_LEAST, Math.min(1, ADMIT_FILL * all / demand)) : 1;
+            double room = ADMIT_FILL * all * share() / demand;
+            double want = filled > SHED_FILL * reported ? Math.max(LEVEL_LEAST, Math.min(1, room))
+                    : Math.min(1, level * LEVEL_RISE);
             if (want < 1 && Math.abs(want - level) > LEVEL_STEP * level || want == 1 && level < 1) {
                 level = want;
                 channel.admit(level);
@@ -847,12 +941,15 @@
         }
 
         private double fill(int i) {
-            return rate[i] / Math.max(1e-9, capacity[i]);
+            return total(i) / Math.max(1e-9, capacity[i]);
         }
 
         /** Weights of the lines: ops flow to where the next one loses least, crossing zones at its price. */
         private void weigh(List<Proxy> known, List<double[]> targets) {
             double[] load = new double[tasks];
+            for (int i = 0; i < tasks; i++) {
+                load[i] = Math.max(0, total(i) - rate[i]);
+            }
             for (int k = 0; k < known.size(); k++) {
                 for (int i = 0; i < tasks; i++) {
                     load[i] += known.get(k).ops * targets.get(k)[i];
@@ -959,19 +1056,19 @@
             int heardTasks = 0;
             for (int i = 0; i < tasks; i++) {
                 if (live(i)) {
-                    all += rate[i];
+                    all += total(i);
                     allCapacity += capacity[i];
                     heardTasks += heardSince[i] >= 0 ? 1 : 0;
                 }
             }
             for (int i = 0; i < tasks; i++) {
                 if (live(i)) {
-                    double load = heardSince[i] >= 0 || heardTasks == 0 ? rate[i] : all / heardTasks * warmth(i);
+                    double load = heardSince[i] >= 0 || heardTasks == 0 ? total(i) : all / heardTasks * warmth(i);
                     double r = capacity[i] / allCapacity * all / FILL - load;
                     double heardFor = heardSince[i] < 0 ? 0 : now - heardSince[i];
                     double opening = started[i] <= 0 || heardFor >= OPENING ? 1
                             : OPENING_SHARE + (1 - OPENING_SHARE) * heardFor / OPENING;
-                    room[i] = r > 0 ? r * opening : r;
+                    room[i] = (r > 0 ? r * opening : r) * share();
                 }
             }
             for (Freed f : moving) {
--- a/src/main/java/stonespring/model/Settings.java
+++ b/src/main/java/stonespring/model/Settings.java
@@ -7,7 +7,7 @@
                        long askEvery, LevelKind levelKind, int backlogLines, int messageHead, int messagesMost,
                        long messagesOver, double linesPerSecond, long emptyLimit, int standingLines,
                        int proxies, long sumsEvery, int slices, boolean oneOwner, long inHandMost,
-                       long writesAfterLoss, double crossZonePrice, long coldTime, double coldShare,
+                       long writesAfterLoss, double crossZonePrice, boolean peers, long coldTime, double coldShare,
                        double fallMultiple, long fallTime, long drainGrace) {
     /** How a level is meant. */
     public enum LevelKind { NONE, SHARE, RATE }
--- a/src/main/java/stonespring/simhost/SettingsReader.java
+++ b/src/main/java/stonespring/simhost/SettingsReader.java
@@ -41,7 +41,8 @@
                 (int) number(fleet, "proxyCount"), time(fleet, "reportEveryS"),
                 (int) number(fleet, "partitionsN", 0), fleet.path("oneOwner").asBoolean(false),
                 time(fleet, "inFlightMaxS", 0), time(fleet, "keepsWritingS", 0),
-                number(child(facts, "prices"), "crossZone", 0), time(rules, "coldS"), number(rules, "coldShare"),
+                number(child(facts, "prices"), "crossZone", 0),
+                facts.path("ceilings").path("peers").asBoolean(false), time(rules, "coldS"), number(rules, "coldShare"),
                 number(rules, "fallMultiple"), time(rules, "tipAfterS"), time(rules, "stopSendingWithinS"));
     }
 
