--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -50,6 +50,8 @@
     private static final double MOVE_LEAST = 0.05;
     /** Smallest weight of a kept line: enough ops to see a task come back, few enough to lose. */
     private static final double LINE_LEAST = 0.01;
+    /** Least part of a draw's weight that a task without room keeps: chance still spreads the tables. */
+    private static final double ROOM_LEAST = 0.1;
     /** Times that a task of the proxy's own zone is likelier drawn; two lines in three at home with three zones. */
     private static final double HOME_PULL = 4;
     /** Fewest lines of a table: with fewer, one bad task is a third of a proxy's ops. */
@@ -70,6 +72,10 @@
     private static final double BUSY_LEAST = 0.15;
     /** Weight of a new reading of an op's cost, share: some twenty readings, as reports carry a tenth of noise. */
     private static final double COST_STEP = 0.05;
+    /** Fill, against the mean, under which a warm task counts as left out; half an ordinary spread under it. */
+    private static final double IDLE_FILL = 0.6;
+    /** Tenths of a ms until a task left out may enter again: its first entry shows in the sums by then. */
+    private static final long ENTER_AGAIN = 5 * Tenths.SECOND;
     /** Tenths of a ms until what a peer said no longer counts: a few of its messages may be lost. */
     private static final long PEER_STALE = 6 * Tenths.SECOND;
     /** Bytes of a message to peers at most: the channel between them takes no more. */
@@ -177,6 +183,7 @@
     private int[] costReadings = new int[32];
     private double[] told = new double[32];
     private double[] others = new double[32];
+    private long[] entered = new long[32];
     private boolean[] down = new boolean[32];
     private boolean[] out = new boolean[32];
     private double[][] bad;
@@ -296,6 +303,7 @@
                 costReadings = Arrays.copyOf(costReadings, size);
                 told = Arrays.copyOf(told, size);
                 others = Arrays.copyOf(others, size);
+                entered = Arrays.copyOf(entered, size);
                 down = Arrays.copyOf(down, size);
                 out = Arrays.copyOf(out, size);
                 for (int z = 0; z < bad.length; z++) {
@@ -577,6 +585,7 @@
         private long lastTurn = Long.MIN_VALUE / 2;
         private int turns;
         private double[] capacity = new double[0];
+        private double[] planned = new double[0];
         private double demand;
         private double peerDemand;
         private final TreeMap<Integer, Map<Integer, Integer>> peers = new TreeMap<>();
@@ -693,10 +702,15 @@
             }
             List<Proxy> known = new ArrayList<>();
             List<double[]> targets = new ArrayList<>();
+            planned = new double[tasks];
             for (Proxy p : proxies.values()) {
                 if (p.joined && (p.bound || urgent.contains(p))) {
+                    double[] target = lineUp(p);
                     known.add(p);
-                    targets.add(lineUp(p));
+                    targets.add(target);
+                    for (int i = 0; i < tasks; i++) {
+                        planned[i] += p.ops * target[i];
+                    }
                 }
             }
             weigh(known, targets);
@@ -897,7 +911,7 @@
 
         private double drawWeight(Proxy p, double[] target, int i) {
             return !live(i) || target[i] > 0 ? 0
-                    : listed[i] * warmth(i) * (zone[i] == p.zoneIndex ? HOME_PULL : 1) * (1.02 - badShare(p.zoneIndex, i));
+                    : Math.max(ROOM_LEAST, 1 - planned[i] / Math.max(1e-9, capacity[i] * share())) * listed[i] * warmth(i) * (zone[i] == p.zoneIndex ? HOME_PULL : 1) * (1.02 - badShare(p.zoneIndex, i));
         }
 
         /** New and returned tasks take the most loaded line of a weight-drawn share of tables. */
@@ -912,11 +926,13 @@
                     return;
                 }
             }
+            enterIdle();
             for (int e : entrants) {
                 if (!live(e)) {
                     continue;
                 }
                 channel.withdraw(e, false);
+                entered[e] = now;
                 for (Proxy p : proxies.values()) {
                     if (!p.joined || !p.bound || p.line(e) > 0) {
                         continue;
@@ -940,6 +956,26 @@
             entrants.clear();
         }
 
+        /** A task that chance left out of most tables is idle while others are full: it enters as a returned one does. */
+        private void enterIdle() {
+            double load = 0;
+            double all = 0;
+            for (int i = 0; i < tasks; i++) {
+                load += live(i) ? total(i) : 0;
+                all += capacity[i];
+            }
+            int idlest = -1;
+            for (int i = 0; i < tasks; i++) {
+                if (live(i) && warmth(i) >= 1 && now - entered[i] > ENTER_AGAIN && allBad(i) < CALM * (allTries(i) + 2)
+                        && fill(i) < IDLE_FILL * load / all && (idlest < 0 || fill(i) < fill(idlest))) {
+                    idlest = i;
+                }
+            }
+            if (idlest >= 0 && !entrants.contains(idlest)) {
+                entrants.add(idlest);
+            }
+        }
+
         private double fill(int i) {
             return total(i) / Math.max(1e-9, capacity[i]);
         }
