--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -38,10 +38,6 @@
     private static final double FILL = 0.8;
     /** Tenths of a ms until freed room counts though no answer came; the design's 2 s. */
     private static final long CREDIT_WAIT = 2 * Tenths.SECOND;
-    /** Tenths of a ms over which a newly heard task's headroom opens from a quarter to all; the design's 10 s. */
-    private static final long OPENING = 10 * Tenths.SECOND;
-    /** Share of its headroom that a newly heard task offers at first; the design's quarter. */
-    private static final double OPENING_SHARE = 0.25;
     /** Tenths of a ms until a move shows in the sums: a sum's usual period and lateness on top of the message's. */
     private static final long SHOWS_AFTER = 3 * Tenths.SECOND;
     /** Potential time of a move in a cycle, in tenths of a ms: above any chain that a channel could hold. */
@@ -872,13 +868,18 @@
                     count++;
                 }
             }
-            p.swap.forEach((from, to) -> {
-                if (live(from) && live(to) && p.line(from) > 0) {
-                    double part = capacity[to] / Math.max(1e-9, capacity[from]);
-                    target[to] = Math.max(LINE_LEAST, p.line(to) + p.line(from) * Math.min(1, part));
+            p.swap.entrySet().removeIf(e -> !live(e.getValue()) || target[e.getKey()] <= 0);
+            for (Map.Entry<Integer, Integer> e : p.swap.entrySet()) {
+                // A cold task takes the line over as it warms: until then both stand.
+                int from = e.getKey();
+                int to = e.getValue();
+                double most = target[from] * Math.min(1, capacity[to] / Math.max(1e-9, capacity[from]));
+                target[to] = Math.max(target[to], Math.max(LINE_LEAST, most));
+                if (warmth(to) >= 1) {
+                    target[to] = Math.max(target[to], target[from]);
                     target[from] = 0;
                 }
-            });
+            }
             int wantedLines = Math.max(LINES_LEAST, set.standingLines());
             double each = count == 0 ? 0 : sum / count;
             while (count < wantedLines) {
@@ -942,7 +943,7 @@
                     for (int i = 0; i < tasks; i++) {
                         if (live(i) && p.line(i) > 0) {
                             count++;
-                            if (most < 0 || fill(i) > fill(most)) {
+                            if (!p.swap.containsKey(i) && (most < 0 || fill(i) > fill(most))) {
                                 most = i;
                             }
                         }
@@ -1038,11 +1039,16 @@
                 if (urgent.contains(p)) {
                     continue;
                 }
+                aimAtRoom(p, targets.get(k), room);
                 double change = 0;
                 for (int i = 0; i < tasks; i++) {
                     change += Math.abs(targets.get(k)[i] - p.line(i)) / 2;
                 }
-                if (change >= MOVE_LEAST || !p.swap.isEmpty()) {
+                boolean entry = false;
+                for (int to : p.swap.values()) {
+                    entry |= p.line(to) <= 0 || warmth(to) >= 1;
+                }
+                if (change >= MOVE_LEAST || entry) {
                     moves.add(new Move(p, targets.get(k)));
                 }
             }
@@ -1085,26 +1091,47 @@
             }
         }
 
+        /** A full task keeps its line as it is, and the others give no more than what the rest can take. */
+        private void aimAtRoom(Proxy p, double[] target, double[] room) {
+            double up = 0;
+            double downBy = 0;
+            for (int i = 0; i < tasks; i++) {
+                double by = target[i] - p.line(i);
+                if (by > 0 && room[i] <= 0) {
+                    target[i] = p.line(i);
+                } else if (by > 0) {
+                    up += by;
+                } else {
+                    downBy -= by;
+                }
+            }
+            for (int i = 0; i < tasks && downBy > up; i++) {
+                if (target[i] < p.line(i)) {
+                    target[i] = p.line(i) - (p.line(i) - target[i]) * up / downBy;
+                }
+            }
+        }
+
         private double[] headroom() {
             double[] room = new double[tasks];
             double all = 0;
             double allCapacity = 0;
-            int heardTasks = 0;
+            double[] standing = new double[tasks];
+            for (Proxy p : proxies.values()) {
+                for (int i = 0; p.bound && i < tasks; i++) {
+                    standing[i] += p.ops * p.line(i);
+                }
+            }
             for (int i = 0; i < tasks; i++) {
                 if (live(i)) {
                     all += total(i);
                     allCapacity += capacity[i];
-                    heardTasks += heardSince[i] >= 0 ? 1 : 0;
                 }
             }
             for (int i = 0; i < tasks; i++) {
                 if (live(i)) {
-                    double load = heardSince[i] >= 0 || heardTasks == 0 ? total(i) : all / heardTasks * warmth(i);
-                    double r = capacity[i] / allCapacity * all / FILL - load;
-                    double heardFor = heardSince[i] < 0 ? 0 : now - heardSince[i];
-                    double opening = started[i] <= 0 || heardFor >= OPENING ? 1
-                            : OPENING_SHARE + (1 - OPENING_SHARE) * heardFor / OPENING;
-                    room[i] = (r > 0 ? r * opening : r) * share();
+                    double load = heardSince[i] >= 0 ? total(i) : standing[i];
+                    room[i] = (capacity[i] / allCapacity * all / FILL - load) * share();
                 }
             }
             for (Freed f : moving) {
@@ -1195,7 +1222,7 @@
             }
             p.lines = next;
             if (share >= 1) {
-                p.swap.clear();
+                p.swap.values().removeIf(to -> warmth(to) >= 1);
             }
             if (!p.bound) {
                 p.bound = true;
