--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -2,28 +2,10 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
+import java.util.*;
+import java.util.function.IntToDoubleFunction;
 import java.util.zip.CRC32;
-import stonespring.model.DecisionModule;
-import stonespring.model.Event;
-import stonespring.model.Listing;
-import stonespring.model.LoadReport;
-import stonespring.model.MarkId;
-import stonespring.model.Order;
-import stonespring.model.PeerId;
-import stonespring.model.ProxyId;
-import stonespring.model.Settings;
-import stonespring.model.TableId;
-import stonespring.model.TaskId;
-import stonespring.model.Tenths;
-import stonespring.model.TimerToken;
+import stonespring.model.*;
 
 /**
  * All decisions of one assigner. A host makes one instance with the settings and a seed, gives it every event of a
@@ -34,106 +16,67 @@
 public final class Assigner implements DecisionModule {
     // ---- Constants: each with its unit and the reason for its size.
 
-    /** Share of a task's capacity that counts as room; the design's 0.8, so a task may go to 1.25 of its part. */
-    private static final double FILL = 0.8;
-    /** Tenths of a ms until freed room counts though no answer came; the design's 2 s. */
-    private static final long CREDIT_WAIT = 2 * Tenths.SECOND;
-    /** Tenths of a ms until a move shows in the sums: a sum's usual period and lateness on top of the message's. */
-    private static final long SHOWS_AFTER = 3 * Tenths.SECOND;
-    /** Potential time of a move in a cycle, in tenths of a ms: above any chain that a channel could hold. */
-    private static final double CYCLE = 1e9;
-    /** Share of a table's traffic that must change before a move is worth a message; under it is noise of the sums. */
-    private static final double MOVE_LEAST = 0.05;
-    /** Smallest weight of a kept line: enough ops to see a task come back, few enough to lose. */
-    private static final double LINE_LEAST = 0.01;
-    /** Least part of a draw's weight that a task without room keeps: chance still spreads the tables. */
-    private static final double ROOM_LEAST = 0.1;
-    /** Times that a task of the proxy's own zone is likelier drawn; two lines in three at home with three zones. */
-    private static final double HOME_PULL = 4;
-    /** Fewest lines of a table: with fewer, one bad task is a third of a proxy's ops. */
-    private static final int LINES_LEAST = 4;
-    /** Rounds of weighing lines per turn: the weights move less than a percent after that. */
-    private static final int WEIGHING_ROUNDS = 40;
-    /** Price of an op sent to a failing task, in ops lost: one and the time lost with it. */
-    private static final double FAIL_PRICE = 1.5;
-    /** Part of ops lost to a full task as a power of its fill: nothing at half, one in two when full. */
-    private static final double LOSS_POWER = 6;
-    /** Half-life of sums in tenths of a ms: two periods, to follow trouble within a few seconds yet smooth noise. */
-    private static final long HALF_LIFE = 2 * Tenths.SECOND;
-    /** Tenths of a ms without a line until what was heard fades: sums may come so late. */
-    private static final long FADE_AFTER = 4 * Tenths.SECOND;
-    /** Fill of tasks that nothing was heard of, share: an ordinary day's. */
-    private static final double USUAL_FILL = 0.6;
-    /** Least busy share from which a task's speed is read: under it the report's noise rules. */
-    private static final double BUSY_LEAST = 0.15;
-    /** Weight of a new reading of an op's cost, share: some twenty readings, as reports carry a tenth of noise. */
-    private static final double COST_STEP = 0.05;
-    /** Fill, against the mean, under which a warm task counts as left out; half an ordinary spread under it. */
-    private static final double IDLE_FILL = 0.6;
-    /** Tenths of a ms until a task left out may enter again: its first entry shows in the sums by then. */
-    private static final long ENTER_AGAIN = 5 * Tenths.SECOND;
-    /** Tenths of a ms until what a peer said no longer counts: a few of its messages may be lost. */
-    private static final long PEER_STALE = 6 * Tenths.SECOND;
-    /** Bytes of a message to peers at most: the channel between them takes no more. */
-    private static final int PEER_BYTES = 256;
-    /** Tenths of a ms between messages to peers: they cost little, and loads don't change faster. */
-    private static final long PEER_EVERY = Tenths.SECOND;
-    /** Turns with sums that an assigner waits before it touches tables that stand from before it started. */
-    private static final int SETTLE_TURNS = 3;
-    /** Times that the channel may run slower than told; the slowest seen so far and some. */
-    private static final double CHANNEL_SLOW = 5;
-    /** Share of the channel's limit that routine orders may fill; the rest is kept for drains and empty tables. */
-    private static final double ROUTINE_LINES = 0.3;
-    /** Share of a proxy's message limit that routine orders may use; the rest is kept likewise. */
-    private static final double ROUTINE_MESSAGES = 0.5;
-    /** Bad share above which a task counts as down, and from which it is cold when it answers again. */
-    private static final double DOWN_SHARE = 0.8;
-    /** Bad share of tries under which a moment counts as calm, so that capacity can be read from what was carried. */
-    private static final double CALM = 0.1;
-    /** Share of their capacity that ops may fill before the rest is rejected: above it queues outgrow the targets. */
-    private static final double ADMIT_FILL = 0.92;
-    /** Busy share of all tasks under which nothing is rejected, whatever the reckoning: they have time left. */
-    private static final double SHED_FILL = 0.8;
-    /** Rise of a level per turn once the tasks have time again: all is let in within a few seconds. */
-    private static final double LEVEL_RISE = 1.15;
-    /** Least level, share: some ops must come in to show whether tasks still work. */
-    private static final double LEVEL_LEAST = 0.05;
-    /** Smallest change of a level worth a message to every proxy, share. */
-    private static final double LEVEL_STEP = 0.05;
-    /** Tries that a cold task may be sent, in what it surely can do: a third of the usual limit, as chance clusters. */
-    private static final double COLD_FILL = 1;
-    /** Tenths of a ms between attempts to follow the list at first; doubles up to the last one. */
-    private static final long FOLLOW_RETRY = Tenths.SECOND / 2;
-    private static final long FOLLOW_RETRY_MOST = 4 * Tenths.SECOND;
-    /** The one timer's token. */
-    private static final TimerToken TICK = new TimerToken(1);
+    // The mechanism.
+    private static final double FILL = 0.8; // share of a task's part of load; the design's, so tasks go to 1.25 of it
+    private static final long CREDIT_WAIT = 20_000; // 0.1 ms; freed room counts unanswered after it, the design's 2 s
+    private static final long SHOWS_AFTER = 30_000; // 0.1 ms; message, period and lateness until sums show a move
+    private static final double CYCLE = 1e9; // 0.1 ms; potential time of a cycle, above any chain a channel could hold
+    private static final double MOVE_LEAST = 0.05; // share of a table's ops; smaller moves are noise of the sums
+    // The tables.
+    private static final double LINE_LEAST = 0.01; // weight; enough ops to see a task come back, few enough to lose
+    private static final double ROOM_LEAST = 0.1; // share of a draw's weight left to a full task; chance still spreads
+    private static final double HOME_PULL = 4; // times; two lines in three at home with three zones
+    private static final double HOME_ENTRY = 2; // times; entrants go to home tables four times as often as to others
+    private static final double AWAY_START = 0.3; // times; a first table's lines abroad, until loads are heard
+    private static final int LINES_LEAST = 4; // lines; with fewer, one bad task is a third of a proxy's ops
+    private static final double IDLE_FILL = 0.6; // share of the mean fill; an ordinary spread stays above it
+    private static final long ENTER_AGAIN = 50_000; // 0.1 ms; an entry shows in the sums by then
+    // The weights of lines.
+    private static final int WEIGHING_ROUNDS = 40; // rounds; weights move less than a percent after that
+    private static final double LOSS_POWER = 6; // power of fill at which ops are lost: few at half, half when full
+    private static final double FILL_MOST = 1.2; // share; fuller is lost alike, and the price stays in bounds
+    private static final double FAIL_PRICE = 1.5; // ops; a failed try loses its op and the time until that shows
+    // What is heard.
+    private static final long HALF_LIFE = 20_000; // 0.1 ms; a few periods: trouble shows in seconds, noise is halved
+    private static final long FADE_AFTER = 40_000; // 0.1 ms without a line; sums may come so late
+    private static final double USUAL_FILL = 0.6; // share; an ordinary day's, while no task told its load
+    private static final double BUSY_LEAST = 0.15; // share; under it a report's noise rules the cost read from it
+    private static final double COST_STEP = 0.05; // share of a new reading; some twenty, as reports carry a tenth of noise
+    private static final double CALM = 0.1; // bad share of tries; above it ops are refused unworked or worked in vain
+    private static final double DOWN_SHARE = 0.8; // bad share; a task down for all, cold when it answers again
+    private static final double DOUBT = 2; // tries; a bad share counts only once there are more tries than these
+    // Levels and cold tasks.
+    private static final double ADMIT_FILL = 0.92; // share of capacity let in; above it queues outgrow the targets
+    private static final double SHED_FILL = 0.8; // busy share under which nothing is rejected: the tasks have time left
+    private static final double LEVEL_RISE = 1.15; // times a turn; all is let in within a few seconds
+    private static final double LEVEL_LEAST = 0.05; // share; some ops must show whether tasks work
+    private static final double LEVEL_STEP = 0.05; // share; a smaller change is not worth a message to every proxy
+    private static final double COLD_FILL = 1; // times a cold task's sure capacity, in tries: a third of the usual limit
+    private static final double COLD_LINE = 0.001; // weight; the finest step that goes out
+    // Start, list, peers, channel.
+    private static final int SETTLE_TURNS = 3; // turns; rounds of sums before tables from before the start are touched
+    private static final long FOLLOW_RETRY = 5_000; // 0.1 ms; first wait before asking again, doubled each time
+    private static final long FOLLOW_RETRY_MOST = 40_000; // 0.1 ms; the list is late by seconds anyway
+    private static final long PEER_STALE = 60_000; // 0.1 ms; a few messages between peers may be lost
+    private static final long PEER_EVERY = 10_000; // 0.1 ms; cheap, and loads don't change faster
+    private static final int PEER_BYTES = 256; // bytes; a message between peers holds no more
+    private static final double CHANNEL_SLOW = 5; // times; the slowest channel seen and some
+    private static final double ROUTINE_LINES = 0.3; // share of the backlog; the rest is for drains and empty tables
+    private static final double ROUTINE_MESSAGES = 0.5; // share of a proxy's messages; likewise
+    private static final int SPARE_MESSAGES = 2; // messages to a proxy; kept for withdrawals, which nothing holds back
+    private static final long NEVER = Long.MIN_VALUE / 2; // 0.1 ms; before any clock
+    private static final TimerToken TICK = new TimerToken(1); // the one timer
 
     // ---- Parts and notes: parts talk only through inboxes that one loop empties.
 
-    private interface Note {
-    }
-
-    private record Entry(Listing listing) implements Note {
-    }
-
-    private record Missing() implements Note {
-    }
-
-    private record Told(Event event) implements Note {
-    }
-
-    private record Leaving(int task) implements Note {
-    }
-
-    private record Entering(int task) implements Note {
-    }
-
-    private record Joined(Proxy proxy) implements Note {
-    }
-
-    private record Heard() implements Note {
-    }
-
+    private interface Note { }
+    private record Entry(Listing listing) implements Note { }
+    private record Missing() implements Note { }
+    private record Told(Event event) implements Note { }
+    private record Leaving(int task) implements Note { }
+    private record Entering(int task) implements Note { }
+    private record Joined(Proxy proxy) implements Note { }
+    private record Heard() implements Note { }
     private abstract class Part {
         private final ArrayDeque<Note> inbox = new ArrayDeque<>();
 
@@ -148,9 +91,7 @@
     }
 
     private void emptyInboxes() {
-        for (Part part = waiting.poll(); part != null; part = waiting.poll()) {
-            part.on(part.inbox.poll());
-        }
+        for (Part part = waiting.poll(); part != null; part = waiting.poll()) part.on(part.inbox.poll());
     }
 
     // ---- The instance.
@@ -164,37 +105,27 @@
     private final Channel channel = new Channel();
     private final TreeMap<Integer, Proxy> proxies = new TreeMap<>();
 
-    // Figures about tasks: parallel arrays under a task's index.
+    // Figures about tasks: parallel arrays under a task's index; where there are two, the first is the zone's.
     private int tasks;
     private final Map<TaskId, Task> taskById = new HashMap<>();
-    private Task[] task = new Task[32];
-    private int[] zone = new int[32];
-    private double[] listed = new double[32];
-    private Listing.State[] state = new Listing.State[32];
-    private long[] started = new long[32];
-    private long[] heardSince = new long[32];
-    private double[] rate = new double[32];
-    private double[] busy = new double[32];
-    private double[] cost = new double[32];
-    private int[] costReadings = new int[32];
-    private double[] told = new double[32];
-    private double[] others = new double[32];
-    private long[] entered = new long[32];
-    private boolean[] down = new boolean[32];
-    private boolean[] out = new boolean[32];
-    private double[][] bad;
-    private double[][] tries;
-    private double[][] zoneRate;
-    private long[][] lastLine;
+    private Task[] task = new Task[0];
+    private int[] zone = new int[0], costReadings = new int[0];
+    private Listing.State[] state = new Listing.State[0];
+    private long[] started = new long[0], entered = new long[0];
+    private boolean[] heard = new boolean[0], down = new boolean[0], out = new boolean[0];
+    private double[] listed = new double[0], rate = new double[0], busy = new double[0], cost = new double[0];
+    private double[] told = new double[0], others = new double[0];
+    private final double[][] bad, tries, zoneRate;
+    private final long[][] lastLine;
 
     public Assigner(Settings settings, long seed, long now) {
         this.set = settings;
         this.seed = seed;
         this.now = now;
-        this.bad = new double[settings.zones()][32];
-        this.tries = new double[settings.zones()][32];
-        this.zoneRate = new double[settings.zones()][32];
-        this.lastLine = new long[settings.zones()][32];
+        this.bad = new double[settings.zones()][0];
+        this.tries = new double[settings.zones()][0];
+        this.zoneRate = new double[settings.zones()][0];
+        this.lastLine = new long[settings.zones()][0];
     }
 
     @Override
@@ -202,17 +133,12 @@
         now = at;
         if (event instanceof Event.TaskSums e) {
             Task t = taskById.get(e.task());
-            if (t != null) {
-                post(t, new Told(e));
-            }
+            if (t != null) post(t, new Told(e));
         } else if (event instanceof Event.ProxyJoined e) {
             post(proxies.computeIfAbsent(e.proxy().number(), n -> new Proxy(e.proxy())), new Told(e));
-        } else if (event instanceof Event.ProxyLeft e) {
-            toProxy(e.proxy(), event);
-        } else if (event instanceof Event.ProxyOps e) {
-            toProxy(e.proxy(), event);
-        } else if (event instanceof Event.Answered e) {
-            toProxy(e.proxy(), event);
+        } else if (event instanceof Event.OfProxy e) {
+            Proxy proxy = proxies.get(e.proxy().number());
+            if (proxy != null) post(proxy, new Told(event));
         } else if (event instanceof Event.PeerSaid) {
             post(planner, new Told(event));
         } else if (event instanceof Event.ListTold || event instanceof Event.TimerDue) {
@@ -221,13 +147,6 @@
         emptyInboxes();
     }
 
-    private void toProxy(ProxyId id, Event event) {
-        Proxy proxy = proxies.get(id.number());
-        if (proxy != null) {
-            post(proxy, new Told(event));
-        }
-    }
-
     @Override
     public List<Order> finish(long at) {
         now = at;
@@ -249,29 +168,58 @@
 
     /** Part of its full capacity that a task surely has: a started one rises from the cold share, evenly at worst. */
     private double warmth(int i) {
-        if (started[i] <= 0) {
-            return 1;
-        }
+        if (started[i] <= 0) return 1;
         double age = (double) Math.max(0, now - started[i]) / Math.max(1, set.coldTime());
         return Math.min(1, set.coldShare() + (1 - set.coldShare()) * age);
     }
 
+    private static double smooth(double old, double seen, double keep) {
+        return Double.isNaN(seen) ? old : Double.isNaN(old) ? seen : old * keep + (1 - keep) * seen;
+    }
+
+    private static double over(double[][] zones, int i) {
+        return Arrays.stream(zones).mapToDouble(of -> of[i]).sum();
+    }
+
     private double allTries(int i) {
-        double sum = 0;
-        for (double[] of : tries) {
-            sum += of[i];
-        }
-        return sum;
+        return over(tries, i);
     }
 
     private double allBad(int i) {
+        return over(bad, i);
+    }
+
+    /** The sum of a figure over the listed, ready tasks. */
+    private double sum(IntToDoubleFunction figure) {
         double sum = 0;
-        for (double[] of : bad) {
-            sum += of[i];
-        }
+        for (int i = 0; i < tasks; i++) sum += live(i) ? figure.applyAsDouble(i) : 0;
         return sum;
     }
 
+    private void grow(int size) {
+        task = Arrays.copyOf(task, size);
+        zone = Arrays.copyOf(zone, size);
+        listed = Arrays.copyOf(listed, size);
+        state = Arrays.copyOf(state, size);
+        started = Arrays.copyOf(started, size);
+        heard = Arrays.copyOf(heard, size);
+        rate = Arrays.copyOf(rate, size);
+        busy = Arrays.copyOf(busy, size);
+        cost = Arrays.copyOf(cost, size);
+        costReadings = Arrays.copyOf(costReadings, size);
+        told = Arrays.copyOf(told, size);
+        others = Arrays.copyOf(others, size);
+        entered = Arrays.copyOf(entered, size);
+        down = Arrays.copyOf(down, size);
+        out = Arrays.copyOf(out, size);
+        for (int z = 0; z < bad.length; z++) {
+            bad[z] = Arrays.copyOf(bad[z], size);
+            tries[z] = Arrays.copyOf(tries[z], size);
+            zoneRate[z] = Arrays.copyOf(zoneRate[z], size);
+            lastLine[z] = Arrays.copyOf(lastLine[z], size);
+        }
+    }
+
     // ---- A task.
 
     private final class Task extends Part {
@@ -285,37 +233,14 @@
             CRC32 crc = new CRC32();
             crc.update(id.name().getBytes(StandardCharsets.UTF_8));
             this.shortName = (int) (crc.getValue() & 0xffff);
-            if (index == task.length) {
-                int size = 2 * index;
-                task = Arrays.copyOf(task, size);
-                zone = Arrays.copyOf(zone, size);
-                listed = Arrays.copyOf(listed, size);
-                state = Arrays.copyOf(state, size);
-                started = Arrays.copyOf(started, size);
-                heardSince = Arrays.copyOf(heardSince, size);
-                rate = Arrays.copyOf(rate, size);
-                busy = Arrays.copyOf(busy, size);
-                cost = Arrays.copyOf(cost, size);
-                costReadings = Arrays.copyOf(costReadings, size);
-                told = Arrays.copyOf(told, size);
-                others = Arrays.copyOf(others, size);
-                entered = Arrays.copyOf(entered, size);
-                down = Arrays.copyOf(down, size);
-                out = Arrays.copyOf(out, size);
-                for (int z = 0; z < bad.length; z++) {
-                    bad[z] = Arrays.copyOf(bad[z], size);
-                    tries[z] = Arrays.copyOf(tries[z], size);
-                    zoneRate[z] = Arrays.copyOf(zoneRate[z], size);
-                    lastLine[z] = Arrays.copyOf(lastLine[z], size);
-                }
-            }
+            if (index == task.length) grow(Math.max(32, 2 * index));
             task[index] = this;
             state[index] = Listing.State.GONE;
             forget();
         }
 
         private void forget() {
-            heardSince[index] = -1;
+            heard[index] = false;
             rate[index] = 0;
             busy[index] = Double.NaN;
             costReadings[index] = 0;
@@ -354,9 +279,7 @@
                     forget();
                     started[index] = l.startedAt();
                 }
-                if (again || !was) {
-                    post(planner, new Entering(index));
-                }
+                if (again || !was) post(planner, new Entering(index));
             } else {
                 state[index] = l.state();
                 post(planner, new Leaving(index));
@@ -367,25 +290,17 @@
             double span = Math.max(1, e.span());
             double keep = Math.pow(0.5, span / HALF_LIFE);
             int z = e.from().index();
-            if (heardSince[index] < 0) {
-                heardSince[index] = now;
-            }
+            heard[index] = true;
             double seen = e.tries() * Tenths.SECOND / span;
             bad[z][index] = bad[z][index] * keep + e.bad();
             tries[z][index] = tries[z][index] * keep + e.tries();
             zoneRate[z][index] = lastLine[z][index] == 0 ? seen : zoneRate[z][index] * keep + (1 - keep) * seen;
             lastLine[z][index] = now;
             LoadReport r = e.report();
-            if (!Double.isNaN(r.busyShare())) {
-                busy[index] = Double.isNaN(busy[index]) ? r.busyShare()
-                        : busy[index] + (1 - keep) * (r.busyShare() - busy[index]);
-            }
-            if (r.opsPerSecond() >= 0) {
-                told[index] = Double.isNaN(told[index]) ? r.opsPerSecond()
-                        : told[index] + (1 - keep) * (r.opsPerSecond() - told[index]);
-            }
+            busy[index] = smooth(busy[index], r.busyShare(), keep);
+            told[index] = smooth(told[index], r.opsPerSecond(), keep);
             double allTries = allTries(index);
-            if (allTries >= 3 && allBad(index) / allTries > DOWN_SHARE) {
+            if (allTries > DOUBT && allBad(index) / allTries > DOWN_SHARE) {
                 down[index] = true;
             } else if (down[index] && e.bad() * 2 < e.tries()) {
                 // What was down for all and answers again may have started again: cold until the list says more.
@@ -407,12 +322,8 @@
         @Override
         void on(Note note) {
             Event event = ((Told) note).event();
-            if (event instanceof Event.ListTold e) {
-                list(e);
-            }
-            if (event instanceof Event.TimerDue) {
-                ticking = false;
-            }
+            if (event instanceof Event.ListTold e) list(e);
+            if (event instanceof Event.TimerDue) ticking = false;
             if (!following && set.listOnRequest() && now >= nextFollow) {
                 channel.other(new Order.FollowList(true));
                 nextFollow = now + followWait + (long) (followWait * chance());
@@ -441,11 +352,7 @@
                 post(t, new Entry(l));
             }
             if (e.kind() == Event.ListKind.WHOLE) {
-                for (int i = 0; i < tasks; i++) {
-                    if (!seen[i]) {
-                        post(task[i], new Missing());
-                    }
-                }
+                for (int i = 0; i < tasks; i++) if (!seen[i]) post(task[i], new Missing());
             }
         }
     }
@@ -455,22 +362,18 @@
     private final class Proxy extends Part {
         private final ProxyId id;
         private int zoneIndex;
-        private boolean joined;
-        private boolean bound;
-        private boolean wanted;
-        private boolean fresh;
+        private boolean joined, bound, wanted, fresh, warned;
         private long joinedAt;
         private double ops;
         private final double[] opsByType = new double[set.opTypes().size()];
-        private final boolean[] opsHeard = new boolean[set.opTypes().size()];
         private double[] lines = new double[0];
         private final TreeMap<Integer, Integer> swap = new TreeMap<>();
-        private boolean warned;
         private final ArrayDeque<Long> messages = new ArrayDeque<>();
         private final ArrayDeque<Freed> freed = new ArrayDeque<>();
 
         Proxy(ProxyId id) {
             this.id = id;
+            Arrays.fill(opsByType, Double.NaN);
         }
 
         TableId table() {
@@ -492,9 +395,7 @@
                 warned = e.fresh();
                 joinedAt = now;
                 messages.clear();
-                if (ops <= 0) {
-                    ops = e.opsPerSecond();
-                }
+                if (ops <= 0) ops = e.opsPerSecond();
                 post(planner, new Joined(this));
             } else if (event instanceof Event.ProxyLeft) {
                 joined = false;
@@ -505,22 +406,14 @@
                 int k = e.opType().index();
                 double seen = e.ops() * (double) Tenths.SECOND / Math.max(1, e.span());
                 double keep = Math.pow(0.5, (double) e.span() / HALF_LIFE);
-                opsByType[k] = opsHeard[k] ? opsByType[k] * keep + (1 - keep) * seen : seen;
-                opsHeard[k] = true;
-                boolean all = true;
-                double sum = 0;
-                for (int j = 0; j < opsHeard.length; j++) {
-                    all &= opsHeard[j];
-                    sum += opsByType[j];
-                }
-                ops = all ? sum : Math.max(ops, sum);
+                opsByType[k] = smooth(opsByType[k], seen, keep);
+                double sum = Arrays.stream(opsByType).filter(v -> v >= 0).sum();
+                ops = Arrays.stream(opsByType).anyMatch(Double::isNaN) ? Math.max(ops, sum) : sum;
             } else if (event instanceof Event.Answered e) {
                 while (!freed.isEmpty()) {
                     Freed first = freed.poll();
                     first.answered = true;
-                    if (first.mark == e.mark().number()) {
-                        break;
-                    }
+                    if (first.mark == e.mark().number()) break;
                 }
             }
         }
@@ -528,18 +421,10 @@
 
     /** Load that a sent move shifts and that the sums don't show yet. */
     private static final class Freed {
-        private final int mark;
-        private final long at;
-        private final int[] at0;
-        private final double[] part;
+        private int mark;
+        private long at;
+        private final Map<Integer, Double> parts = new TreeMap<>();
         private boolean answered;
-
-        Freed(int mark, long at, int[] at0, double[] part) {
-            this.mark = mark;
-            this.at = at;
-            this.at0 = at0;
-            this.part = part;
-        }
     }
 
     // ---- The tables: targets, moves, rounds.
@@ -562,9 +447,7 @@
 
         double ownTime() {
             int changed = set.messageHead();
-            for (int i = 0; i < target.length; i++) {
-                changed += differs(target[i], proxy.line(i)) ? 1 : 0;
-            }
+            for (int i = 0; i < target.length; i++) changed += differs(target[i], proxy.line(i)) ? 1 : 0;
             return changed * Tenths.SECOND / set.linesPerSecond();
         }
     }
@@ -577,19 +460,13 @@
         private final ArrayList<Integer> entrants = new ArrayList<>();
         private final ArrayList<Proxy> urgent = new ArrayList<>();
         private final ArrayList<Freed> moving = new ArrayList<>();
-        private boolean heard;
-        private long lastTurn = Long.MIN_VALUE / 2;
+        private boolean sumsCame;
+        private long lastTurn = NEVER, toldPeers = NEVER, peerAt = NEVER;
         private int turns;
-        private double[] capacity = new double[0];
-        private double[] planned = new double[0];
-        private double demand;
-        private double peerDemand;
+        private double[] capacity = new double[0], planned = new double[0];
+        private double demand, peerDemand, triesPerOp = 1, level = 1;
         private final TreeMap<Integer, Map<Integer, Integer>> peers = new TreeMap<>();
         private final TreeMap<Integer, Long> peerTold = new TreeMap<>();
-        private long toldPeers = Long.MIN_VALUE / 2;
-        private long peerAt = Long.MIN_VALUE / 2;
-        private double triesPerOp = 1;
-        private double level = 1;
 
         @Override
         void on(Note note) {
@@ -600,7 +477,7 @@
             } else if (note instanceof Joined j) {
                 j.proxy().wanted = true;
             } else if (note instanceof Heard) {
-                heard = true;
+                sumsCame = true;
             } else if (note instanceof Told t && t.event() instanceof Event.PeerSaid said) {
                 peerSaid(said);
             }
@@ -609,14 +486,10 @@
         /** What a peer's proxies bring: all ops, then pairs of a task's short name and its ops, tenths a second. */
         private void peerSaid(Event.PeerSaid said) {
             ByteBuffer in = ByteBuffer.wrap(said.bytes());
-            if (in.remaining() < 2) {
-                return;
-            }
+            if (in.remaining() < 2) return;
             Map<Integer, Integer> heardOps = new HashMap<>();
             heardOps.put(-1, in.getShort() & 0xffff);
-            while (in.remaining() >= 4) {
-                heardOps.put(in.getShort() & 0xffff, in.getShort() & 0xffff);
-            }
+            while (in.remaining() >= 4) heardOps.put(in.getShort() & 0xffff, in.getShort() & 0xffff);
             peers.put(said.from().number(), heardOps);
             peerTold.put(said.from().number(), now);
             peerAt = now;
@@ -637,9 +510,7 @@
         }
 
         private void tellPeers() {
-            if (!set.peers() || set.assigners() < 2 || now - toldPeers < PEER_EVERY) {
-                return;
-            }
+            if (!set.peers() || set.assigners() < 2 || now - toldPeers < PEER_EVERY) return;
             toldPeers = now;
             ByteBuffer text = ByteBuffer.allocate(PEER_BYTES);
             text.putShort((short) Math.min(65_535, demand * 10));
@@ -654,15 +525,13 @@
         private void leave(int i) {
             channel.withdraw(i, true);
             for (Proxy p : proxies.values()) {
-                if (p.joined && p.bound && p.line(i) > 0 && !urgent.contains(p)) {
-                    urgent.add(p);
-                }
+                if (p.joined && p.bound && p.line(i) > 0 && !urgent.contains(p)) urgent.add(p);
             }
         }
 
         /** Called once at the end of a moment. */
         void plan() {
-            boolean turn = heard && now - lastTurn >= set.sumsEvery() * 9 / 10;
+            boolean turn = sumsCame && now - lastTurn >= set.sumsEvery() * 9 / 10;
             if (turn) {
                 sumPeers();
                 settleSums();
@@ -670,9 +539,7 @@
                 turns++;
             }
             boolean anyOut = false;
-            for (int i = 0; i < tasks; i++) {
-                anyOut |= !live(i);
-            }
+            for (int i = 0; i < tasks; i++) anyOut |= !live(i);
             for (Proxy p : proxies.values()) {
                 // Standing tables are left alone after a start until sums were heard, unless what left may be all of it.
                 boolean late = anyOut && now - p.joinedAt > set.emptyLimit() / 2;
@@ -681,21 +548,13 @@
                 } else if (p.joined && !p.bound && !p.warned) {
                     // Tables from before this stream may name what left: withdrawals don't reach later joiners.
                     p.warned = true;
-                    for (int i = 0; i < tasks; i++) {
-                        if (!live(i)) {
-                            channel.withdraw(i, true);
-                        }
-                    }
+                    for (int i = 0; i < tasks; i++) if (!live(i)) channel.withdraw(i, true);
                 }
             }
             urgent.removeIf(p -> !p.joined || !channel.roomForUrgent(p));
-            if (urgent.isEmpty() && !turn) {
-                return;
-            }
+            if (urgent.isEmpty() && !turn) return;
             weighCapacity();
-            if (turn) {
-                enter();
-            }
+            if (turn) enter();
             List<Proxy> known = new ArrayList<>();
             List<double[]> targets = new ArrayList<>();
             planned = new double[tasks];
@@ -704,18 +563,14 @@
                     double[] target = lineUp(p);
                     known.add(p);
                     targets.add(target);
-                    for (int i = 0; i < tasks; i++) {
-                        planned[i] += p.ops * target[i];
-                    }
+                    for (int i = 0; i < tasks; i++) planned[i] += p.ops * target[i];
                 }
             }
             weigh(known, targets);
             capCold(known, targets);
             for (int k = 0; k < known.size(); k++) {
                 Proxy p = known.get(k);
-                if (urgent.contains(p)) {
-                    send(new Move(p, targets.get(k)), 1);
-                }
+                if (urgent.contains(p)) send(new Move(p, targets.get(k)), 1);
             }
             if (turn) {
                 levels();
@@ -740,7 +595,7 @@
                 }
                 readCost(i);
             }
-            heard = false;
+            sumsCame = false;
         }
 
         /** Busy time an op costs a task, from calm moments of a warm one: in a jam tries are refused or in vain. */
@@ -754,9 +609,7 @@
 
         /** Ops a second that all proxies bring a task: told by it, or heard here and from peers. */
         private double total(int i) {
-            if (!Double.isNaN(told[i])) {
-                return Math.max(told[i], rate[i]);
-            }
+            if (!Double.isNaN(told[i])) return Math.max(told[i], rate[i]);
             return peersHeard() ? rate[i] + others[i] : rate[i] / share();
         }
 
@@ -766,41 +619,20 @@
 
         /** This assigner's part of all traffic: by what peers say, else by its part of the proxies. */
         private double share() {
-            if (set.assigners() == 1) {
-                return 1;
-            }
-            if (peersHeard()) {
-                return Math.max(0.01, demand / Math.max(0.01, demand + peerDemand));
-            }
-            int joined = 0;
-            for (Proxy p : proxies.values()) {
-                joined += p.joined ? 1 : 0;
-            }
-            return Math.max(0.01, Math.min(1, (double) joined / set.proxies()));
+            if (set.assigners() == 1) return 1;
+            if (peersHeard()) return Math.max(0.01, demand / Math.max(0.01, demand + peerDemand));
+            double joined = proxies.values().stream().filter(p -> p.joined).count();
+            return Math.max(0.01, Math.min(1, joined / set.proxies()));
         }
 
         /** Capacity of each task in ops a second: from the busy time of its ops, else listed weight and the average. */
         private void weighCapacity() {
             capacity = new double[tasks];
-            double read = 0;
-            double readListed = 0;
-            double allListed = 0;
-            double sent = 0;
-            demand = 0;
-            for (Proxy p : proxies.values()) {
-                demand += p.joined ? p.ops : 0;
-            }
-            for (int i = 0; i < tasks; i++) {
-                if (live(i)) {
-                    allListed += listed[i];
-                    sent += rate[i];
-                    if (costReadings[i] > 0) {
-                        read += 1 / cost[i];
-                        readListed += listed[i];
-                    }
-                }
-            }
-            triesPerOp = Math.max(1, sent / Math.max(1, demand));
+            demand = proxies.values().stream().mapToDouble(p -> p.joined ? p.ops : 0).sum();
+            triesPerOp = Math.max(1, sum(i -> rate[i]) / Math.max(1, demand));
+            double read = sum(i -> costReadings[i] > 0 ? 1 / cost[i] : 0);
+            double readListed = sum(i -> costReadings[i] > 0 ? listed[i] : 0);
+            double allListed = sum(i -> listed[i]);
             for (int i = 0; i < tasks; i++) {
                 if (live(i)) {
                     double full = costReadings[i] > 0 ? 1 / cost[i]
@@ -814,35 +646,24 @@
         /** A cold task falls over for all when too much is tried there, whoever refuses it: its lines stay under that. */
         private void capCold(List<Proxy> known, List<double[]> targets) {
             for (int i = 0; i < tasks; i++) {
-                if (!live(i) || warmth(i) >= 1) {
-                    continue;
-                }
+                if (!live(i) || warmth(i) >= 1) continue;
                 double load = 0;
                 for (int k = 0; k < known.size(); k++) {
                     load += known.get(k).ops * triesPerOp * targets.get(k)[i];
                 }
                 double most = COLD_FILL * capacity[i] * share();
                 for (int k = 0; k < known.size() && load > most; k++) {
-                    targets.get(k)[i] = Math.max(0.001, targets.get(k)[i] * most / load);
+                    targets.get(k)[i] = Math.max(COLD_LINE, targets.get(k)[i] * most / load);
                 }
             }
         }
 
         /** Levels: what the tasks can't carry is rejected at once, the op types of least benefit first. */
         private void levels() {
-            if (set.levelKind() != Settings.LevelKind.SHARE || demand <= 0) {
-                return;
-            }
-            double all = 0;
-            double filled = 0;
-            double reported = 0;
-            for (int i = 0; i < tasks; i++) {
-                all += capacity[i];
-                if (capacity[i] > 0 && busy[i] >= 0) {
-                    filled += capacity[i] * busy[i];
-                    reported += capacity[i];
-                }
-            }
+            if (set.levelKind() != Settings.LevelKind.SHARE || demand <= 0) return;
+            double all = sum(i -> capacity[i]);
+            double filled = sum(i -> busy[i] >= 0 ? capacity[i] * busy[i] : 0);
+            double reported = sum(i -> busy[i] >= 0 ? capacity[i] : 0);
             double room = ADMIT_FILL * all * share() / demand;
             double want = filled > SHED_FILL * reported ? Math.max(LEVEL_LEAST, Math.min(1, room))
                     : Math.min(1, level * LEVEL_RISE);
@@ -853,7 +674,7 @@
         }
 
         private double badShare(int z, int i) {
-            return bad[z][i] / (tries[z][i] + 2);
+            return bad[z][i] / (tries[z][i] + DOUBT);
         }
 
         /** The table that a proxy keeps: its lines, with what left swapped for live tasks, drawn when it has none. */
@@ -884,11 +705,9 @@
             double each = count == 0 ? 0 : sum / count;
             while (count < wantedLines) {
                 int i = draw(p, target);
-                if (i < 0) {
-                    break;
-                }
+                if (i < 0) break;
                 target[i] = each > 0 ? Math.max(LINE_LEAST, (1 - sum) / Math.max(1, wantedLines - count))
-                        : capacity[i] * (zone[i] == p.zoneIndex ? 1 : 0.3);
+                        : capacity[i] * (zone[i] == p.zoneIndex ? 1 : AWAY_START);
                 count++;
             }
             normalise(target);
@@ -897,30 +716,24 @@
 
         private int draw(Proxy p, double[] target) {
             double all = 0;
-            for (int i = 0; i < tasks; i++) {
-                all += drawWeight(p, target, i);
-            }
+            for (int i = 0; i < tasks; i++) all += drawWeight(p, target, i);
             double at = chance() * all;
             for (int i = 0; i < tasks; i++) {
                 double w = drawWeight(p, target, i);
-                if (w > 0 && (at -= w) < 0) {
-                    return i;
-                }
+                if (w > 0 && (at -= w) < 0) return i;
             }
             return -1;
         }
 
         private double drawWeight(Proxy p, double[] target, int i) {
             return !live(i) || target[i] > 0 ? 0
-                    : Math.max(ROOM_LEAST, 1 - planned[i] / Math.max(1e-9, capacity[i] * share())) * listed[i] * warmth(i) * (zone[i] == p.zoneIndex ? HOME_PULL : 1) * (1.02 - badShare(p.zoneIndex, i));
+                    : listed[i] * warmth(i) * Math.max(ROOM_LEAST, 1 - planned[i] / (capacity[i] * share()))
+                    * (zone[i] == p.zoneIndex ? HOME_PULL : 1) * (1.02 - badShare(p.zoneIndex, i));
         }
 
         /** New and returned tasks take the most loaded line of a weight-drawn share of tables. */
         private void enter() {
-            double allListed = 0;
-            for (int i = 0; i < tasks; i++) {
-                allListed += live(i) ? listed[i] : 0;
-            }
+            double allListed = sum(i -> listed[i]);
             for (Proxy p : proxies.values()) {
                 if (p.joined && !p.bound) {
                     // A table not known yet may name what returned cold: it stays withdrawn until all are known.
@@ -929,29 +742,21 @@
             }
             enterIdle();
             for (int e : entrants) {
-                if (!live(e)) {
-                    continue;
-                }
+                if (!live(e)) continue;
                 channel.withdraw(e, false);
                 entered[e] = now;
                 for (Proxy p : proxies.values()) {
-                    if (!p.joined || !p.bound || p.line(e) > 0) {
-                        continue;
-                    }
+                    if (!p.joined || !p.bound || p.line(e) > 0) continue;
                     int count = 0;
                     int most = -1;
                     for (int i = 0; i < tasks; i++) {
                         if (live(i) && p.line(i) > 0) {
                             count++;
-                            if (!p.swap.containsKey(i) && (most < 0 || fill(i) > fill(most))) {
-                                most = i;
-                            }
+                            if (!p.swap.containsKey(i) && (most < 0 || fill(i) > fill(most))) most = i;
                         }
                     }
-                    double home = zone[e] == p.zoneIndex ? 2 : 0.5;
-                    if (most >= 0 && chance() < home * count * listed[e] / allListed) {
-                        p.swap.put(most, e);
-                    }
+                    double home = zone[e] == p.zoneIndex ? HOME_ENTRY : 1 / HOME_ENTRY;
+                    if (most >= 0 && chance() < home * count * listed[e] / allListed) p.swap.put(most, e);
                 }
             }
             entrants.clear();
@@ -959,22 +764,15 @@
 
         /** A task that chance left out of most tables is idle while others are full: it enters as a returned one does. */
         private void enterIdle() {
-            double load = 0;
-            double all = 0;
-            for (int i = 0; i < tasks; i++) {
-                load += live(i) ? total(i) : 0;
-                all += capacity[i];
-            }
+            double mean = sum(this::total) / sum(i -> capacity[i]);
             int idlest = -1;
             for (int i = 0; i < tasks; i++) {
-                if (live(i) && warmth(i) >= 1 && now - entered[i] > ENTER_AGAIN && allBad(i) < CALM * (allTries(i) + 2)
-                        && fill(i) < IDLE_FILL * load / all && (idlest < 0 || fill(i) < fill(idlest))) {
+                if (live(i) && warmth(i) >= 1 && now - entered[i] > ENTER_AGAIN && allBad(i) < CALM * (allTries(i) + DOUBT)
+                        && fill(i) < IDLE_FILL * mean && (idlest < 0 || fill(i) < fill(idlest))) {
                     idlest = i;
                 }
             }
-            if (idlest >= 0 && !entrants.contains(idlest)) {
-                entrants.add(idlest);
-            }
+            if (idlest >= 0 && !entrants.contains(idlest)) entrants.add(idlest);
         }
 
         private double fill(int i) {
@@ -984,19 +782,15 @@
         /** Weights of the lines: ops flow to where the next one loses least, crossing zones at its price. */
         private void weigh(List<Proxy> known, List<double[]> targets) {
             double[] load = new double[tasks];
-            for (int i = 0; i < tasks; i++) {
-                load[i] = Math.max(0, total(i) - rate[i]);
-            }
+            for (int i = 0; i < tasks; i++) load[i] = Math.max(0, total(i) - rate[i]);
             for (int k = 0; k < known.size(); k++) {
-                for (int i = 0; i < tasks; i++) {
-                    load[i] += known.get(k).ops * targets.get(k)[i];
-                }
+                for (int i = 0; i < tasks; i++) load[i] += known.get(k).ops * targets.get(k)[i];
             }
             for (int round = 0; round < WEIGHING_ROUNDS; round++) {
                 double steep = 1;
                 for (int i = 0; i < tasks; i++) {
                     if (capacity[i] > 0) {
-                        double f = Math.min(1.2, load[i] / capacity[i]);
+                        double f = Math.min(FILL_MOST, load[i] / capacity[i]);
                         steep = Math.max(steep, LOSS_POWER * (LOSS_POWER + 1) * Math.pow(f, LOSS_POWER) / 2);
                     }
                 }
@@ -1008,7 +802,7 @@
                     double mean = 0;
                     for (int i = 0; i < tasks; i++) {
                         if (t[i] > 0) {
-                            double f = Math.min(1.2, load[i] / Math.max(1e-9, capacity[i]));
+                            double f = Math.min(FILL_MOST, load[i] / Math.max(1e-9, capacity[i]));
                             price[i] = (LOSS_POWER + 1) * Math.pow(f, LOSS_POWER) / 2
                                     + (zone[i] == p.zoneIndex ? 0 : set.crossZonePrice())
                                     + FAIL_PRICE * badShare(p.zoneIndex, i);
@@ -1022,9 +816,7 @@
                         }
                     }
                     normalise(t);
-                    for (int i = 0; i < tasks; i++) {
-                        load[i] += p.ops * t[i];
-                    }
+                    for (int i = 0; i < tasks; i++) load[i] += p.ops * t[i];
                 }
             }
         }
@@ -1036,28 +828,16 @@
             List<Move> moves = new ArrayList<>();
             for (int k = 0; k < known.size(); k++) {
                 Proxy p = known.get(k);
-                if (urgent.contains(p)) {
-                    continue;
-                }
+                if (urgent.contains(p)) continue;
                 aimAtRoom(p, targets.get(k), room);
                 double change = 0;
-                for (int i = 0; i < tasks; i++) {
-                    change += Math.abs(targets.get(k)[i] - p.line(i)) / 2;
-                }
+                for (int i = 0; i < tasks; i++) change += Math.abs(targets.get(k)[i] - p.line(i)) / 2;
                 boolean entry = false;
-                for (int to : p.swap.values()) {
-                    entry |= p.line(to) <= 0 || warmth(to) >= 1;
-                }
-                if (change >= MOVE_LEAST || entry) {
-                    moves.add(new Move(p, targets.get(k)));
-                }
-            }
-            if (moves.isEmpty()) {
-                return;
-            }
-            for (Move m : moves) {
-                potential(m, moves, room);
+                for (int to : p.swap.values()) entry |= p.line(to) <= 0 || warmth(to) >= 1;
+                if (change >= MOVE_LEAST || entry) moves.add(new Move(p, targets.get(k)));
             }
+            if (moves.isEmpty()) return;
+            for (Move m : moves) potential(m, moves, room);
             moves.sort(Comparator.<Move>comparingDouble(m -> -m.potential).thenComparingDouble(m -> -m.proxy.ops)
                     .thenComparingInt(m -> m.proxy.id.number()));
             boolean admitted = false;
@@ -1069,12 +849,8 @@
                 }
             }
             boolean awaiting = false;
-            for (Freed f : moving) {
-                awaiting |= !f.answered && now - f.at < CREDIT_WAIT;
-            }
-            if (admitted || awaiting) {
-                return;
-            }
+            for (Freed f : moving) awaiting |= !f.answered && now - f.at < CREDIT_WAIT;
+            if (admitted || awaiting) return;
             // Deadlock: the move that yields least goes with the part that fits.
             Move least = null;
             double leastRatio = 1;
@@ -1106,59 +882,40 @@
                 }
             }
             for (int i = 0; i < tasks && downBy > up; i++) {
-                if (target[i] < p.line(i)) {
-                    target[i] = p.line(i) - (p.line(i) - target[i]) * up / downBy;
-                }
+                if (target[i] < p.line(i)) target[i] = p.line(i) - (p.line(i) - target[i]) * up / downBy;
             }
         }
 
         private double[] headroom() {
             double[] room = new double[tasks];
-            double all = 0;
-            double allCapacity = 0;
-            double[] standing = new double[tasks];
-            for (Proxy p : proxies.values()) {
-                for (int i = 0; p.bound && i < tasks; i++) {
-                    standing[i] += p.ops * p.line(i);
-                }
-            }
-            for (int i = 0; i < tasks; i++) {
-                if (live(i)) {
-                    all += total(i);
-                    allCapacity += capacity[i];
-                }
-            }
+            double mean = sum(this::total) / sum(i -> capacity[i]);
             for (int i = 0; i < tasks; i++) {
                 if (live(i)) {
-                    double load = heardSince[i] >= 0 ? total(i) : standing[i];
-                    room[i] = (capacity[i] / allCapacity * all / FILL - load) * share();
+                    double load = heard[i] ? total(i) : standing(i);
+                    room[i] = (capacity[i] * mean / FILL - load) * share();
                 }
             }
             for (Freed f : moving) {
                 boolean credited = f.answered || now - f.at >= CREDIT_WAIT;
-                for (int j = 0; j < f.at0.length; j++) {
-                    if (f.part[j] > 0 || credited) {
-                        room[f.at0[j]] -= f.part[j];
-                    }
-                }
+                f.parts.forEach((i, part) -> room[i] -= part > 0 || credited ? part : 0);
             }
             return room;
         }
 
+        private double standing(int i) {
+            return proxies.values().stream().mapToDouble(p -> p.bound ? p.ops * p.line(i) : 0).sum();
+        }
+
         private boolean fits(Move m, double[] room, double share) {
             for (int i = 0; i < tasks; i++) {
                 double part = m.part(i) * share;
-                if (part > 1e-6 && part > room[i]) {
-                    return false;
-                }
+                if (part > 1e-6 && part > room[i]) return false;
             }
             return true;
         }
 
         private void take(Move m, double[] room, double share) {
-            for (int i = 0; i < tasks; i++) {
-                room[i] -= Math.max(0, m.part(i) * share);
-            }
+            for (int i = 0; i < tasks; i++) room[i] -= Math.max(0, m.part(i) * share);
         }
 
         private double yieldRatio(Move m, double[] room) {
@@ -1175,12 +932,8 @@
 
         /** A move's own time and the deepest of the moves that wait for room where it frees some. */
         private double potential(Move m, List<Move> moves, double[] room) {
-            if (m.open) {
-                return CYCLE;
-            }
-            if (m.potential >= 0) {
-                return m.potential;
-            }
+            if (m.open) return CYCLE;
+            if (m.potential >= 0) return m.potential;
             m.open = true;
             double deepest = 0;
             for (Move w : moves) {
@@ -1195,9 +948,7 @@
 
         private boolean waitsFor(Move w, Move m, double[] room) {
             for (int i = 0; i < tasks; i++) {
-                if (m.part(i) < -1e-6 && w.part(i) > 1e-6 && w.part(i) > room[i]) {
-                    return true;
-                }
+                if (m.part(i) < -1e-6 && w.part(i) > 1e-6 && w.part(i) > room[i]) return true;
             }
             return false;
         }
@@ -1206,9 +957,7 @@
         private void send(Move m, double share) {
             Proxy p = m.proxy;
             double[] next = new double[tasks];
-            int[] where = new int[tasks];
-            double[] part = new double[tasks];
-            int n = 0;
+            Freed f = new Freed();
             for (int i = 0; i < tasks; i++) {
                 double want = live(i) ? p.line(i) + share * (m.target[i] - p.line(i)) : 0;
                 want = Math.round(want * 1000) / 1000.0;
@@ -1216,34 +965,28 @@
                 if (differs(want, p.line(i))) {
                     channel.line(p, i, want);
                     next[i] = want;
-                    where[n] = i;
-                    part[n++] = p.ops * (want - (p.bound ? p.line(i) : 0));
+                    f.parts.put(i, p.ops * (want - (p.bound ? p.line(i) : 0)));
                 }
             }
             p.lines = next;
-            if (share >= 1) {
-                p.swap.values().removeIf(to -> warmth(to) >= 1);
-            }
+            if (share >= 1) p.swap.values().removeIf(to -> warmth(to) >= 1);
             if (!p.bound) {
                 p.bound = true;
                 p.wanted = false;
                 channel.bind(p);
-            } else if (n == 0) {
+            } else if (f.parts.isEmpty()) {
                 return;
             }
-            Freed f = new Freed(channel.mark(), now, Arrays.copyOf(where, n), Arrays.copyOf(part, n));
+            f.mark = channel.mark;
+            f.at = now;
             p.freed.add(f);
             moving.add(f);
         }
 
         private void normalise(double[] t) {
             double sum = 0;
-            for (double w : t) {
-                sum += w;
-            }
-            for (int i = 0; i < t.length && sum > 0; i++) {
-                t[i] /= sum;
-            }
+            for (double w : t) sum += w;
+            for (int i = 0; i < t.length && sum > 0; i++) t[i] /= sum;
         }
     }
 
@@ -1259,18 +1002,12 @@
         private long emptyAt;
         private boolean retriesSet;
 
-        int mark() {
-            return mark;
-        }
-
         void other(Order order) {
             others.add(order);
         }
 
         void withdraw(int i, boolean leaves) {
-            if (!leaves && !out[i]) {
-                return;
-            }
+            if (!leaves && !out[i]) return;
             out[i] = leaves;
             first.add(new Order.Withdraw(task[i].id, leaves));
             for (Proxy p : proxies.values()) {
@@ -1282,17 +1019,13 @@
 
         void line(Proxy p, int i, double weight) {
             lines.add(new Order.SetLine(p.table(), task[i].id, weight));
-            if (p.bound) {
-                touched.merge(p.id.number(), 1, Integer::sum);
-            }
+            if (p.bound) touched.merge(p.id.number(), 1, Integer::sum);
         }
 
         void bind(Proxy p) {
             binds.add(new Order.Bind(p.table(), p.id, 0));
             int count = 3;
-            for (double w : p.lines) {
-                count += w > 0 ? 1 : 0;
-            }
+            for (double w : p.lines) count += w > 0 ? 1 : 0;
             touched.merge(p.id.number(), count, Integer::sum);
         }
 
@@ -1304,16 +1037,14 @@
         }
 
         boolean roomForUrgent(Proxy p) {
-            return set.messagesMost() == 0 || recent(p) < set.messagesMost() - 2;
+            return set.messagesMost() == 0 || recent(p) < set.messagesMost() - SPARE_MESSAGES;
         }
 
         /** Routine orders leave most of the channel and of a proxy's messages to drains and empty tables. */
         boolean roomForRoutine(Proxy p) {
             double slowRate = set.linesPerSecond() / CHANNEL_SLOW;
             double queued = Math.max(0, emptyAt - now) * slowRate / Tenths.SECOND;
-            for (int n : touched.values()) {
-                queued += n + set.messageHead();
-            }
+            for (int n : touched.values()) queued += n + set.messageHead();
             return queued < ROUTINE_LINES * set.backlogLines()
                     && (set.messagesMost() == 0 || recent(p) < ROUTINE_MESSAGES * set.messagesMost());
         }
@@ -1323,11 +1054,7 @@
             double value = set.levelKind() == Settings.LevelKind.RATE ? 1e6 : level;
             first.add(new Order.Admit(Order.EVERY_TABLE, 0,
                     level < 1 ? Order.Retry.NEVER : Order.Retry.ON_PROOF, value));
-            for (Proxy p : proxies.values()) {
-                if (p.joined) {
-                    touched.merge(p.id.number(), 1, Integer::sum);
-                }
-            }
+            for (Proxy p : proxies.values()) if (p.joined) touched.merge(p.id.number(), 1, Integer::sum);
         }
 
         List<Order> flush() {
--- a/src/main/java/stonespring/model/Event.java
+++ b/src/main/java/stonespring/model/Event.java
@@ -7,6 +7,11 @@
     /** How a list event relates to the list that the assigner holds. */
     enum ListKind { CHANGES, WHOLE, LAST_SEEN, FAILED }
 
+    /** What concerns one joined proxy. */
+    sealed interface OfProxy extends Event {
+        ProxyId proxy();
+    }
+
     record ListTold(ListKind kind, List<Listing> entries) implements Event {
     }
 
@@ -16,10 +21,10 @@
     record ProxyJoined(ProxyId proxy, ZoneId zone, double opsPerSecond, boolean fresh) implements Event {
     }
 
-    record ProxyLeft(ProxyId proxy) implements Event {
+    record ProxyLeft(ProxyId proxy) implements OfProxy {
     }
 
-    record ProxyOps(ProxyId proxy, OpTypeId opType, long ops, long unanswered, long span) implements Event {
+    record ProxyOps(ProxyId proxy, OpTypeId opType, long ops, long unanswered, long span) implements OfProxy {
     }
 
     record SliceOps(TableId slice, OpTypeId opType, long ops, long unanswered, long span) implements Event {
@@ -38,7 +43,7 @@
     record Probed(TaskId task, boolean good, long took, LoadReport report) implements Event {
     }
 
-    record Answered(ProxyId proxy, MarkId mark, long took) implements Event {
+    record Answered(ProxyId proxy, MarkId mark, long took) implements OfProxy {
     }
 
     record TimerDue(TimerToken token) implements Event {
