Tries that crowd on cold lines count against their cap; no repeats when full

The cap now counts a table's ops over its good part, and ways of trying again stop when the tasks are full also where no levels exist. It holds against any crowding (shunned, silent, cut off tasks); it slows the entry of new tasks in a jam.

--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -52,7 +52,7 @@
     private static final double LEVEL_LEAST = 0.05; // share; some ops must show whether tasks work
     private static final double LEVEL_STEP = 0.05; // share; a smaller change is not worth a message to every proxy
     private static final double COLD_FILL = 1; // times a cold task's sure capacity, in tries: a third of the usual limit
-    private static final double COLD_LINE = 0.001; // weight; the finest step that goes out
+    private static final double GOOD_LEAST = 0.1; // share of a table's ops; a proxy sends all to one line in ten at worst
     // Start, list, peers, channel.
     private static final int SETTLE_TURNS = 3; // turns; rounds of sums before tables from before the start are touched
     private static final long FOLLOW_RETRY = 5_000; // 0.1 ms; first wait before asking again, doubled each time
@@ -643,24 +643,29 @@
             }
         }
 
-        /** A cold task falls over for all when too much is tried there, whoever refuses it: its lines stay under that. */
+        /**
+         * A cold task falls over when too much is tried there, whoever refuses it, so its lines stay under that. Tries
+         * of an op and ops that proxies keep from failing lines by themselves crowd on the lines that are left.
+         */
         private void capCold(List<Proxy> known, List<double[]> targets) {
+            double[] crowd = new double[known.size()];
+            for (int k = 0; k < crowd.length; k++) {
+                double good = 0;
+                for (int i = 0; i < tasks; i++) good += targets.get(k)[i] * (1 - badShare(known.get(k).zoneIndex, i));
+                crowd[k] = known.get(k).ops * triesPerOp / Math.max(GOOD_LEAST, good);
+            }
             for (int i = 0; i < tasks; i++) {
                 if (!live(i) || warmth(i) >= 1) continue;
                 double load = 0;
-                for (int k = 0; k < known.size(); k++) {
-                    load += known.get(k).ops * triesPerOp * targets.get(k)[i];
-                }
+                for (int k = 0; k < crowd.length; k++) load += crowd[k] * targets.get(k)[i];
                 double most = COLD_FILL * capacity[i] * share();
-                for (int k = 0; k < known.size() && load > most; k++) {
-                    targets.get(k)[i] = Math.max(COLD_LINE, targets.get(k)[i] * most / load);
-                }
+                for (int k = 0; k < crowd.length && load > most; k++) targets.get(k)[i] *= most / load;
             }
         }
 
         /** Levels: what the tasks can't carry is rejected at once, the op types of least benefit first. */
         private void levels() {
-            if (set.levelKind() != Settings.LevelKind.SHARE || demand <= 0) return;
+            if (demand <= 0) return;
             double all = sum(i -> capacity[i]);
             double filled = sum(i -> busy[i] >= 0 ? capacity[i] * busy[i] : 0);
             double reported = sum(i -> busy[i] >= 0 ? capacity[i] : 0);
