--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -8,62 +8,62 @@
 import stonespring.model.*;
 
 /**
- * All decisions of one assigner. A host makes one instance with the settings and a seed, gives it every event of a
- * moment through {@link DecisionModule#take} and carries out what {@link DecisionModule#finish} returns, in order.
- * The interface is {@code stonespring.model.DecisionModule}; the types of events, orders and settings stand beside it.
- * The instance keeps no clock, thread or file, so that a simulator and a daemon can drive it alike.
+ * All decisions of one assigner. A host makes one instance with the settings and a seed, gives it every event
+ * of a moment through {@code take} and carries out, in order, what {@code finish} returns. The interface is
+ * {@code stonespring.model.DecisionModule}; the types of events, orders and settings stand beside it.
+ * An instance keeps no clock, thread or file, so that a simulator and a daemon can drive it alike.
  */
 public final class Assigner implements DecisionModule {
     // ---- Constants: each with its unit and the reason for its size.
 
     // The mechanism.
-    private static final double FILL = 0.8; // share of a task's part of load; the design's, so tasks go to 1.25 of it
-    private static final long CREDIT_WAIT = 20_000; // 0.1 ms; freed room counts unanswered after it, the design's 2 s
-    private static final long SHOWS_AFTER = 30_000; // 0.1 ms; message, period and lateness until sums show a move
-    private static final double CYCLE = 1e9; // 0.1 ms; potential time of a cycle, above any chain a channel could hold
-    private static final double MOVE_LEAST = 0.05; // share of a table's ops; smaller moves are noise of the sums
+    private static final double FILL = 0.8; // share; the design's: a task may take 1.25 of its part of load
+    private static final long CREDIT_WAIT = 20_000; // 0.1 ms; the design's 2 s for freed room unanswered
+    private static final long SHOWS_AFTER = 30_000; // 0.1 ms; a message's, period's and lateness's time
+    private static final double CYCLE = 1e9; // 0.1 ms; a cycle's potential time, above any chain
+    private static final double MOVE_LEAST = 0.05; // share of a table's ops; less is noise of the sums
     // The tables.
-    private static final double LINE_LEAST = 0.01; // weight; enough ops to see a task come back, few enough to lose
-    private static final double ROOM_LEAST = 0.1; // share of a draw's weight left to a full task; chance still spreads
+    private static final double LINE_LEAST = 0.01; // weight; shows a task that comes back, at little loss
+    private static final double ROOM_LEAST = 0.1; // share of a draw's weight left to a full task: some chance
     private static final double HOME_PULL = 4; // times; two lines in three at home with three zones
-    private static final double HOME_ENTRY = 2; // times; entrants go to home tables four times as often as to others
-    private static final double AWAY_START = 0.3; // times; a first table's lines abroad, until loads are heard
-    private static final int LINES_LEAST = 4; // lines; with fewer, one bad task is a third of a proxy's ops
-    private static final double IDLE_FILL = 0.6; // share of the mean fill; an ordinary spread stays above it
+    private static final double HOME_ENTRY = 2; // times; four times as many home tables as others
+    private static final double AWAY_START = 0.3; // times; a new table's lines abroad until loads are heard
+    private static final int LINES_LEAST = 4; // lines; with fewer a bad task is a third of a proxy's ops
+    private static final double IDLE_FILL = 0.6; // share of mean fill; an ordinary spread stays above it
     private static final long ENTER_AGAIN = 50_000; // 0.1 ms; an entry shows in the sums by then
     // The weights of lines.
-    private static final int WEIGHING_ROUNDS = 40; // rounds; weights move less than a percent after that
-    private static final double LOSS_POWER = 6; // power of fill at which ops are lost: few at half, half when full
-    private static final double FILL_MOST = 1.2; // share; fuller is lost alike, and the price stays in bounds
-    private static final double FAIL_PRICE = 1.5; // ops; a failed try loses its op and the time until that shows
+    private static final int WEIGHING_ROUNDS = 40; // rounds; weights move under a percent after that
+    private static final double LOSS_POWER = 6; // power of fill; few ops are lost at half, half when full
+    private static final double FILL_MOST = 1.2; // share; fuller is lost alike, and prices stay in bounds
+    private static final double FAIL_PRICE = 1.5; // ops; a failed try loses its op and the time it took
     // What is heard.
-    private static final long HALF_LIFE = 20_000; // 0.1 ms; a few periods: trouble shows in seconds, noise is halved
+    private static final long HALF_LIFE = 20_000; // 0.1 ms; trouble shows in seconds, noise is halved
     private static final long FADE_AFTER = 40_000; // 0.1 ms without a line; sums may come so late
-    private static final double USUAL_FILL = 0.6; // share; an ordinary day's, while no task told its load
-    private static final double BUSY_LEAST = 0.15; // share; under it a report's noise rules the cost read from it
-    private static final double COST_STEP = 0.05; // share of a new reading; some twenty, as reports carry a tenth of noise
-    private static final double CALM = 0.1; // bad share of tries; above it ops are refused unworked or worked in vain
-    private static final double DOWN_SHARE = 0.8; // bad share; a task down for all, cold when it answers again
-    private static final double DOUBT = 2; // tries; a bad share counts only once there are more tries than these
+    private static final double USUAL_FILL = 0.6; // share; an ordinary day's, until tasks tell their load
+    private static final double BUSY_LEAST = 0.15; // share; under it a report's noise rules the cost
+    private static final double COST_STEP = 0.05; // share; twenty readings even out a tenth of noise
+    private static final double CALM = 0.1; // bad share of tries; above it work is refused or in vain
+    private static final double DOWN_SHARE = 0.8; // bad share; down for all, and cold when it answers again
+    private static final double DOUBT = 2; // tries; fewer say nothing of a bad share
     // Levels and cold tasks.
-    private static final double ADMIT_FILL = 0.92; // share of capacity let in; above it queues outgrow the targets
-    private static final double SHED_FILL = 0.8; // busy share under which nothing is rejected: the tasks have time left
-    private static final double LEVEL_RISE = 1.15; // times a turn; all is let in within a few seconds
+    private static final double ADMIT_FILL = 0.92; // share of capacity; above it queues outgrow the targets
+    private static final double SHED_FILL = 0.8; // busy share; under it tasks have time and all is let in
+    private static final double LEVEL_RISE = 1.15; // times a turn; all is let in again within seconds
     private static final double LEVEL_LEAST = 0.05; // share; some ops must show whether tasks work
-    private static final double LEVEL_STEP = 0.05; // share; a smaller change is not worth a message to every proxy
-    private static final double COLD_FILL = 1; // times a cold task's sure capacity, in tries: a third of the usual limit
-    private static final double GOOD_LEAST = 0.1; // share of a table's ops; a proxy sends all to one line in ten at worst
+    private static final double LEVEL_STEP = 0.05; // share; less is not worth a message to every proxy
+    private static final double COLD_FILL = 1; // tries per sure capacity; a third of the usual limit
+    private static final double GOOD_LEAST = 0.1; // share; at worst one line in ten takes a proxy's ops
     // Start, list, peers, channel.
-    private static final int SETTLE_TURNS = 3; // turns; rounds of sums before tables from before the start are touched
-    private static final long FOLLOW_RETRY = 5_000; // 0.1 ms; first wait before asking again, doubled each time
+    private static final int SETTLE_TURNS = 3; // turns; some rounds of sums before old tables are touched
+    private static final long FOLLOW_RETRY = 5_000; // 0.1 ms; first wait to ask again, doubled each time
     private static final long FOLLOW_RETRY_MOST = 40_000; // 0.1 ms; the list is late by seconds anyway
-    private static final long PEER_STALE = 60_000; // 0.1 ms; a few messages between peers may be lost
+    private static final long PEER_STALE = 60_000; // 0.1 ms; a few messages of a peer may be lost
     private static final long PEER_EVERY = 10_000; // 0.1 ms; cheap, and loads don't change faster
-    private static final int PEER_BYTES = 256; // bytes; a message between peers holds no more
-    private static final double CHANNEL_SLOW = 5; // times; the slowest channel seen and some
-    private static final double ROUTINE_LINES = 0.3; // share of the backlog; the rest is for drains and empty tables
+    private static final int PEER_BYTES = 256; // bytes; all that a message to a peer can hold
+    private static final double CHANNEL_SLOW = 5; // times; the slowest channel known, and some
+    private static final double ROUTINE_LINES = 0.3; // share of the backlog; the rest is for drains
     private static final double ROUTINE_MESSAGES = 0.5; // share of a proxy's messages; likewise
-    private static final int SPARE_MESSAGES = 2; // messages to a proxy; kept for withdrawals, which nothing holds back
+    private static final int SPARE_MESSAGES = 2; // messages; for withdrawals, which nothing holds back
     private static final long NEVER = Long.MIN_VALUE / 2; // 0.1 ms; before any clock
     private static final TimerToken TICK = new TimerToken(1); // the one timer
 
@@ -75,7 +75,6 @@
     private record Told(Event event) implements Note { }
     private record Leaving(int task) implements Note { }
     private record Entering(int task) implements Note { }
-    private record Joined(Proxy proxy) implements Note { }
     private record Heard() implements Note { }
     private abstract class Part {
         private final ArrayDeque<Note> inbox = new ArrayDeque<>();
@@ -105,7 +104,7 @@
     private final Channel channel = new Channel();
     private final TreeMap<Integer, Proxy> proxies = new TreeMap<>();
 
-    // Figures about tasks: parallel arrays under a task's index; where there are two, the first is the zone's.
+    // Figures about tasks: parallel arrays under a task's index; a first index of two is the zone's.
     private int tasks;
     private final Map<TaskId, Task> taskById = new HashMap<>();
     private Task[] task = new Task[0];
@@ -128,8 +127,7 @@
         this.lastLine = new long[settings.zones()][0];
     }
 
-    @Override
-    public void take(long at, Event event) {
+    @Override public void take(long at, Event event) {
         now = at;
         if (event instanceof Event.TaskSums e) {
             Task t = taskById.get(e.task());
@@ -147,8 +145,7 @@
         emptyInboxes();
     }
 
-    @Override
-    public List<Order> finish(long at) {
+    @Override public List<Order> finish(long at) {
         now = at;
         emptyInboxes();
         planner.plan();
@@ -157,16 +154,18 @@
 
     /** Chance: a number from 0 to 1, the same for the same seed and count of draws. */
     private double chance() {
-        CRC32 crc = new CRC32();
-        crc.update(ByteBuffer.allocate(16).putLong(seed).putLong(draws++).array());
-        return crc.getValue() / 4294967296.0;
+        return crc(ByteBuffer.allocate(16).putLong(seed).putLong(draws++).array()) / 4294967296.0;
     }
 
-    private boolean live(int i) {
-        return state[i] == Listing.State.READY;
+    private static long crc(byte[] bytes) {
+        CRC32 crc = new CRC32();
+        crc.update(bytes);
+        return crc.getValue();
     }
 
-    /** Part of its full capacity that a task surely has: a started one rises from the cold share, evenly at worst. */
+    private boolean live(int i) { return state[i] == Listing.State.READY; }
+
+    /** Part of its capacity that a task surely has: it rises from the cold share, evenly at worst. */
     private double warmth(int i) {
         if (started[i] <= 0) return 1;
         double age = (double) Math.max(0, now - started[i]) / Math.max(1, set.coldTime());
@@ -181,14 +180,6 @@
         return Arrays.stream(zones).mapToDouble(of -> of[i]).sum();
     }
 
-    private double allTries(int i) {
-        return over(tries, i);
-    }
-
-    private double allBad(int i) {
-        return over(bad, i);
-    }
-
     /** The sum of a figure over the listed, ready tasks. */
     private double sum(IntToDoubleFunction figure) {
         double sum = 0;
@@ -199,25 +190,23 @@
     private void grow(int size) {
         task = Arrays.copyOf(task, size);
         zone = Arrays.copyOf(zone, size);
-        listed = Arrays.copyOf(listed, size);
+        costReadings = Arrays.copyOf(costReadings, size);
         state = Arrays.copyOf(state, size);
         started = Arrays.copyOf(started, size);
+        entered = Arrays.copyOf(entered, size);
         heard = Arrays.copyOf(heard, size);
+        down = Arrays.copyOf(down, size);
+        out = Arrays.copyOf(out, size);
+        listed = Arrays.copyOf(listed, size);
         rate = Arrays.copyOf(rate, size);
         busy = Arrays.copyOf(busy, size);
         cost = Arrays.copyOf(cost, size);
-        costReadings = Arrays.copyOf(costReadings, size);
         told = Arrays.copyOf(told, size);
         others = Arrays.copyOf(others, size);
-        entered = Arrays.copyOf(entered, size);
-        down = Arrays.copyOf(down, size);
-        out = Arrays.copyOf(out, size);
-        for (int z = 0; z < bad.length; z++) {
-            bad[z] = Arrays.copyOf(bad[z], size);
-            tries[z] = Arrays.copyOf(tries[z], size);
-            zoneRate[z] = Arrays.copyOf(zoneRate[z], size);
-            lastLine[z] = Arrays.copyOf(lastLine[z], size);
+        for (double[][] of : List.of(bad, tries, zoneRate)) {
+            Arrays.setAll(of, z -> Arrays.copyOf(of[z], size));
         }
+        Arrays.setAll(lastLine, z -> Arrays.copyOf(lastLine[z], size));
     }
 
     // ---- A task.
@@ -230,9 +219,7 @@
         Task(TaskId id) {
             this.id = id;
             this.index = tasks++;
-            CRC32 crc = new CRC32();
-            crc.update(id.name().getBytes(StandardCharsets.UTF_8));
-            this.shortName = (int) (crc.getValue() & 0xffff);
+            this.shortName = (int) (crc(id.name().getBytes(StandardCharsets.UTF_8)) & 0xffff);
             if (index == task.length) grow(Math.max(32, 2 * index));
             task[index] = this;
             state[index] = Listing.State.GONE;
@@ -240,23 +227,14 @@
         }
 
         private void forget() {
-            heard[index] = false;
-            rate[index] = 0;
-            busy[index] = Double.NaN;
-            costReadings[index] = 0;
-            told[index] = Double.NaN;
-            others[index] = 0;
-            down[index] = false;
-            for (int z = 0; z < bad.length; z++) {
-                bad[z][index] = 0;
-                tries[z][index] = 0;
-                zoneRate[z][index] = 0;
-                lastLine[z][index] = 0;
-            }
+            heard[index] = down[index] = false;
+            busy[index] = told[index] = Double.NaN;
+            rate[index] = others[index] = costReadings[index] = 0;
+            for (double[][] of : List.of(bad, tries, zoneRate)) for (double[] inZone : of) inZone[index] = 0;
+            for (long[] inZone : lastLine) inZone[index] = 0;
         }
 
-        @Override
-        void on(Note note) {
+        @Override void on(Note note) {
             if (note instanceof Entry e) {
                 entry(e.listing());
             } else if (note instanceof Missing && state[index] != Listing.State.GONE) {
@@ -294,16 +272,16 @@
             double seen = e.tries() * Tenths.SECOND / span;
             bad[z][index] = bad[z][index] * keep + e.bad();
             tries[z][index] = tries[z][index] * keep + e.tries();
-            zoneRate[z][index] = lastLine[z][index] == 0 ? seen : zoneRate[z][index] * keep + (1 - keep) * seen;
+            zoneRate[z][index] = smooth(lastLine[z][index] == 0 ? Double.NaN : zoneRate[z][index], seen, keep);
             lastLine[z][index] = now;
             LoadReport r = e.report();
             busy[index] = smooth(busy[index], r.busyShare(), keep);
             told[index] = smooth(told[index], r.opsPerSecond(), keep);
-            double allTries = allTries(index);
-            if (allTries > DOUBT && allBad(index) / allTries > DOWN_SHARE) {
+            double allTries = over(tries, index);
+            if (allTries > DOUBT && over(bad, index) / allTries > DOWN_SHARE) {
                 down[index] = true;
             } else if (down[index] && e.bad() * 2 < e.tries()) {
-                // What was down for all and answers again may have started again: cold until the list says more.
+                // What was down for all and answers again may have started again, cold.
                 down[index] = false;
                 started[index] = Math.max(started[index], now - Tenths.SECOND);
             }
@@ -319,8 +297,7 @@
         private boolean following;
         private boolean ticking;
 
-        @Override
-        void on(Note note) {
+        @Override void on(Note note) {
             Event event = ((Told) note).event();
             if (event instanceof Event.ListTold e) list(e);
             if (event instanceof Event.TimerDue) ticking = false;
@@ -362,7 +339,7 @@
     private final class Proxy extends Part {
         private final ProxyId id;
         private int zoneIndex;
-        private boolean joined, bound, wanted, fresh, warned;
+        private boolean joined, bound, fresh, warned;
         private long joinedAt;
         private double ops;
         private final double[] opsByType = new double[set.opTypes().size()];
@@ -376,16 +353,11 @@
             Arrays.fill(opsByType, Double.NaN);
         }
 
-        TableId table() {
-            return new TableId(id.number());
-        }
+        TableId table() { return new TableId(id.number()); }
 
-        double line(int i) {
-            return i < lines.length ? lines[i] : 0;
-        }
+        double line(int i) { return i < lines.length ? lines[i] : 0; }
 
-        @Override
-        void on(Note note) {
+        @Override void on(Note note) {
             Event event = ((Told) note).event();
             if (event instanceof Event.ProxyJoined e) {
                 zoneIndex = e.zone().index();
@@ -396,7 +368,6 @@
                 joinedAt = now;
                 messages.clear();
                 if (ops <= 0) ops = e.opsPerSecond();
-                post(planner, new Joined(this));
             } else if (event instanceof Event.ProxyLeft) {
                 joined = false;
                 bound = false;
@@ -441,9 +412,7 @@
             this.target = target;
         }
 
-        double part(int i) {
-            return proxy.ops * (target[i] - proxy.line(i));
-        }
+        double part(int i) { return proxy.ops * (target[i] - proxy.line(i)); }
 
         double ownTime() {
             int changed = set.messageHead();
@@ -468,22 +437,14 @@
         private final TreeMap<Integer, Map<Integer, Integer>> peers = new TreeMap<>();
         private final TreeMap<Integer, Long> peerTold = new TreeMap<>();
 
-        @Override
-        void on(Note note) {
-            if (note instanceof Leaving l) {
-                leave(l.task());
-            } else if (note instanceof Entering e) {
-                entrants.add(e.task());
-            } else if (note instanceof Joined j) {
-                j.proxy().wanted = true;
-            } else if (note instanceof Heard) {
-                sumsCame = true;
-            } else if (note instanceof Told t && t.event() instanceof Event.PeerSaid said) {
-                peerSaid(said);
-            }
+        @Override void on(Note note) {
+            if (note instanceof Leaving l) leave(l.task());
+            if (note instanceof Entering e) entrants.add(e.task());
+            if (note instanceof Heard) sumsCame = true;
+            if (note instanceof Told t && t.event() instanceof Event.PeerSaid said) peerSaid(said);
         }
 
-        /** What a peer's proxies bring: all ops, then pairs of a task's short name and its ops, tenths a second. */
+        /** What a peer's proxies bring, in tenths of ops a second: all, then pairs of short name and ops. */
         private void peerSaid(Event.PeerSaid said) {
             ByteBuffer in = ByteBuffer.wrap(said.bytes());
             if (in.remaining() < 2) return;
@@ -541,12 +502,12 @@
             boolean anyOut = false;
             for (int i = 0; i < tasks; i++) anyOut |= !live(i);
             for (Proxy p : proxies.values()) {
-                // Standing tables are left alone after a start until sums were heard, unless what left may be all of it.
+                // Tables from before a start are left alone until sums came, but what left may be all of one.
                 boolean late = anyOut && now - p.joinedAt > set.emptyLimit() / 2;
-                if (p.joined && !p.bound && p.wanted && (p.fresh || turns >= SETTLE_TURNS || late)) {
+                if (p.joined && !p.bound && (p.fresh || turns >= SETTLE_TURNS || late)) {
                     urgent.add(p);
                 } else if (p.joined && !p.bound && !p.warned) {
-                    // Tables from before this stream may name what left: withdrawals don't reach later joiners.
+                    // Its tables may name what left, and withdrawals don't reach later joiners.
                     p.warned = true;
                     for (int i = 0; i < tasks; i++) if (!live(i)) channel.withdraw(i, true);
                 }
@@ -580,7 +541,7 @@
             urgent.clear();
         }
 
-        /** Sums up a turn's rates; a line's span says since when it counts, so what sent no line only fades. */
+        /** Sums up a turn's rates; a line counts over its own span, so what sent none only fades. */
         private void settleSums() {
             double keep = Math.pow(0.5, (double) set.sumsEvery() / HALF_LIFE);
             for (int i = 0; i < tasks; i++) {
@@ -598,12 +559,12 @@
             sumsCame = false;
         }
 
-        /** Busy time an op costs a task, from calm moments of a warm one: in a jam tries are refused or in vain. */
+        /** Busy time that an op costs a warm task, read in calm: in a jam tries are refused or in vain. */
         private void readCost(int i) {
             double total = total(i);
-            if (busy[i] > BUSY_LEAST && total > 1 && warmth(i) >= 1 && allBad(i) < CALM * allTries(i)) {
+            if (busy[i] > BUSY_LEAST && total > 1 && warmth(i) >= 1 && over(bad, i) < CALM * over(tries, i)) {
                 double step = Math.max(COST_STEP, 1.0 / ++costReadings[i]);
-                cost[i] = costReadings[i] == 1 ? busy[i] / total : cost[i] + step * (busy[i] / total - cost[i]);
+                cost[i] = smooth(costReadings[i] == 1 ? Double.NaN : cost[i], busy[i] / total, 1 - step);
             }
         }
 
@@ -613,9 +574,7 @@
             return peersHeard() ? rate[i] + others[i] : rate[i] / share();
         }
 
-        private boolean peersHeard() {
-            return now - peerAt < PEER_STALE;
-        }
+        private boolean peersHeard() { return now - peerAt < PEER_STALE; }
 
         /** This assigner's part of all traffic: by what peers say, else by its part of the proxies. */
         private double share() {
@@ -625,7 +584,7 @@
             return Math.max(0.01, Math.min(1, joined / set.proxies()));
         }
 
-        /** Capacity of each task in ops a second: from the busy time of its ops, else listed weight and the average. */
+        /** Capacity of each task, ops a second: from the cost of its ops, else listed weight and the average. */
         private void weighCapacity() {
             capacity = new double[tasks];
             demand = proxies.values().stream().mapToDouble(p -> p.joined ? p.ops : 0).sum();
@@ -644,15 +603,16 @@
         }
 
         /**
-         * A cold task falls over when too much is tried there, whoever refuses it, so its lines stay under that. Tries
-         * of an op and ops that proxies keep from failing lines by themselves crowd on the lines that are left.
+         * A cold task falls over when too much is tried there, even what it refuses, so its lines stay under that.
+         * Repeats, and ops that proxies keep from failing lines by themselves, crowd on the lines that are left.
          */
         private void capCold(List<Proxy> known, List<double[]> targets) {
             double[] crowd = new double[known.size()];
             for (int k = 0; k < crowd.length; k++) {
                 double good = 0;
-                for (int i = 0; i < tasks; i++) good += targets.get(k)[i] * (1 - badShare(known.get(k).zoneIndex, i));
-                crowd[k] = known.get(k).ops * triesPerOp / Math.max(GOOD_LEAST, good);
+                Proxy p = known.get(k);
+                for (int i = 0; i < tasks; i++) good += targets.get(k)[i] * (1 - badShare(p.zoneIndex, i));
+                crowd[k] = p.ops * triesPerOp / Math.max(GOOD_LEAST, good);
             }
             for (int i = 0; i < tasks; i++) {
                 if (!live(i) || warmth(i) >= 1) continue;
@@ -678,11 +638,9 @@
             }
         }
 
-        private double badShare(int z, int i) {
-            return bad[z][i] / (tries[z][i] + DOUBT);
-        }
+        private double badShare(int z, int i) { return bad[z][i] / (tries[z][i] + DOUBT); }
 
-        /** The table that a proxy keeps: its lines, with what left swapped for live tasks, drawn when it has none. */
+        /** The table that a proxy keeps: its lines, with what left swapped for live tasks; drawn if it has none. */
         private double[] lineUp(Proxy p) {
             double[] target = new double[tasks];
             int count = 0;
@@ -741,7 +699,7 @@
             double allListed = sum(i -> listed[i]);
             for (Proxy p : proxies.values()) {
                 if (p.joined && !p.bound) {
-                    // A table not known yet may name what returned cold: it stays withdrawn until all are known.
+                    // A table not known yet may name what returned cold: that stays withdrawn until it is.
                     return;
                 }
             }
@@ -767,12 +725,13 @@
             entrants.clear();
         }
 
-        /** A task that chance left out of most tables is idle while others are full: it enters as a returned one does. */
+        /** A task that chance left out of most tables enters as a returned one does. */
         private void enterIdle() {
             double mean = sum(this::total) / sum(i -> capacity[i]);
             int idlest = -1;
             for (int i = 0; i < tasks; i++) {
-                if (live(i) && warmth(i) >= 1 && now - entered[i] > ENTER_AGAIN && allBad(i) < CALM * (allTries(i) + DOUBT)
+                if (live(i) && warmth(i) >= 1 && now - entered[i] > ENTER_AGAIN
+                        && over(bad, i) < CALM * (over(tries, i) + DOUBT)
                         && fill(i) < IDLE_FILL * mean && (idlest < 0 || fill(i) < fill(idlest))) {
                     idlest = i;
                 }
@@ -780,9 +739,7 @@
             if (idlest >= 0 && !entrants.contains(idlest)) entrants.add(idlest);
         }
 
-        private double fill(int i) {
-            return total(i) / Math.max(1e-9, capacity[i]);
-        }
+        private double fill(int i) { return total(i) / Math.max(1e-9, capacity[i]); }
 
         /** Weights of the lines: ops flow to where the next one loses least, crossing zones at its price. */
         private void weigh(List<Proxy> known, List<double[]> targets) {
@@ -826,7 +783,7 @@
             }
         }
 
-        /** Rounds of moves: sorted by potential time, then traffic, each admitted only where its targets have room. */
+        /** A round: moves by potential time, then traffic, each admitted only where its targets have room. */
         private void rounds(List<Proxy> known, List<double[]> targets) {
             moving.removeIf(f -> now - f.at > SHOWS_AFTER);
             double[] room = headroom();
@@ -843,11 +800,11 @@
             }
             if (moves.isEmpty()) return;
             for (Move m : moves) potential(m, moves, room);
-            moves.sort(Comparator.<Move>comparingDouble(m -> -m.potential).thenComparingDouble(m -> -m.proxy.ops)
-                    .thenComparingInt(m -> m.proxy.id.number()));
+            moves.sort(Comparator.<Move>comparingDouble(m -> -m.potential)
+                    .thenComparingDouble(m -> -m.proxy.ops).thenComparingInt(m -> m.proxy.id.number()));
             boolean admitted = false;
             for (Move m : moves) {
-                if (channel.roomForRoutine(m.proxy) && fits(m, room, 1)) {
+                if (channel.roomForRoutine(m.proxy) && yieldRatio(m, room) <= 0) {
                     take(m, room, 1);
                     send(m, 1);
                     admitted = true;
@@ -911,28 +868,17 @@
             return proxies.values().stream().mapToDouble(p -> p.bound ? p.ops * p.line(i) : 0).sum();
         }
 
-        private boolean fits(Move m, double[] room, double share) {
-            for (int i = 0; i < tasks; i++) {
-                double part = m.part(i) * share;
-                if (part > 1e-6 && part > room[i]) return false;
-            }
-            return true;
-        }
-
         private void take(Move m, double[] room, double share) {
             for (int i = 0; i < tasks; i++) room[i] -= Math.max(0, m.part(i) * share);
         }
 
+        /** The part of a move that its fullest task has no room for; above 0 it doesn't fit as a whole. */
         private double yieldRatio(Move m, double[] room) {
-            double traffic = 0;
-            double least = Double.MAX_VALUE;
+            double least = 1;
             for (int i = 0; i < tasks; i++) {
-                if (m.part(i) > 1e-6) {
-                    traffic = Math.max(traffic, m.part(i));
-                    least = Math.min(least, room[i] / m.part(i));
-                }
+                if (m.part(i) > 1e-6) least = Math.min(least, room[i] / m.part(i));
             }
-            return traffic <= 0 ? 1 : 1 - Math.min(1, least);
+            return 1 - least;
         }
 
         /** A move's own time and the deepest of the moves that wait for room where it frees some. */
@@ -977,7 +923,6 @@
             if (share >= 1) p.swap.values().removeIf(to -> warmth(to) >= 1);
             if (!p.bound) {
                 p.bound = true;
-                p.wanted = false;
                 channel.bind(p);
             } else if (f.parts.isEmpty()) {
                 return;
@@ -1007,9 +952,7 @@
         private long emptyAt;
         private boolean retriesSet;
 
-        void other(Order order) {
-            others.add(order);
-        }
+        void other(Order order) { others.add(order); }
 
         void withdraw(int i, boolean leaves) {
             if (!leaves && !out[i]) return;
@@ -1054,7 +997,7 @@
                     && (set.messagesMost() == 0 || recent(p) < ROUTINE_MESSAGES * set.messagesMost());
         }
 
-        /** Ways of trying again stand with the level: on proof that no try ran, and never when there is too much. */
+        /** Ops are tried again on proof that no try ran, and never when there is too much. */
         void admit(double level) {
             double value = set.levelKind() == Settings.LevelKind.RATE ? 1e6 : level;
             first.add(new Order.Admit(Order.EVERY_TABLE, 0,
