--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.*;
 import java.util.function.IntToDoubleFunction;
+import java.util.stream.IntStream;
 import java.util.zip.CRC32;
 import stonespring.model.*;
 
@@ -272,7 +273,8 @@
             double seen = e.tries() * Tenths.SECOND / span;
             bad[z][index] = bad[z][index] * keep + e.bad();
             tries[z][index] = tries[z][index] * keep + e.tries();
-            zoneRate[z][index] = smooth(lastLine[z][index] == 0 ? Double.NaN : zoneRate[z][index], seen, keep);
+            double old = lastLine[z][index] == 0 ? Double.NaN : zoneRate[z][index];
+            zoneRate[z][index] = smooth(old, seen, keep);
             lastLine[z][index] = now;
             LoadReport r = e.report();
             busy[index] = smooth(busy[index], r.busyShare(), keep);
@@ -343,7 +345,9 @@
         private long joinedAt;
         private double ops;
         private final double[] opsByType = new double[set.opTypes().size()];
-        private double[] lines = new double[0];
+        private double[] lines = new double[0], target = new double[0];
+        private double potential;
+        private boolean open;
         private final TreeMap<Integer, Integer> swap = new TreeMap<>();
         private final ArrayDeque<Long> messages = new ArrayDeque<>();
         private final ArrayDeque<Freed> freed = new ArrayDeque<>();
@@ -355,6 +359,25 @@
 
         TableId table() { return new TableId(id.number()); }
 
+        /** Ops a second that the move to the target brings a task; below 0 it takes them away. */
+        double part(int i) { return ops * (target[i] - line(i)); }
+
+        /** A table that names what left, or has no line: nothing waits for a turn then. */
+        boolean broken() {
+            boolean any = false;
+            for (int i = 0; i < tasks; i++) {
+                if (line(i) > 0 && !live(i)) return true;
+                any |= line(i) > 0;
+            }
+            return !any;
+        }
+
+        /** Time that the move's lines take in the channel. */
+        double ownTime() {
+            long changed = IntStream.range(0, tasks).filter(i -> differs(target[i], line(i))).count();
+            return (changed + set.messageHead()) * Tenths.SECOND / set.linesPerSecond();
+        }
+
         double line(int i) { return i < lines.length ? lines[i] : 0; }
 
         @Override void on(Note note) {
@@ -400,27 +423,6 @@
 
     // ---- The tables: targets, moves, rounds.
 
-    /** One table that differs from its target. */
-    private final class Move {
-        private final Proxy proxy;
-        private final double[] target;
-        private double potential = -1;
-        private boolean open;
-
-        Move(Proxy proxy, double[] target) {
-            this.proxy = proxy;
-            this.target = target;
-        }
-
-        double part(int i) { return proxy.ops * (target[i] - proxy.line(i)); }
-
-        double ownTime() {
-            int changed = set.messageHead();
-            for (int i = 0; i < target.length; i++) changed += differs(target[i], proxy.line(i)) ? 1 : 0;
-            return changed * Tenths.SECOND / set.linesPerSecond();
-        }
-    }
-
     private static boolean differs(double a, double b) {
         return Math.abs(a - b) > 0.005 + 0.05 * Math.max(a, b) || (a > 0) != (b > 0);
     }
@@ -438,7 +440,7 @@
         private final TreeMap<Integer, Long> peerTold = new TreeMap<>();
 
         @Override void on(Note note) {
-            if (note instanceof Leaving l) leave(l.task());
+            if (note instanceof Leaving l) channel.withdraw(l.task(), true);
             if (note instanceof Entering e) entrants.add(e.task());
             if (note instanceof Heard) sumsCame = true;
             if (note instanceof Told t && t.event() instanceof Event.PeerSaid said) peerSaid(said);
@@ -483,13 +485,6 @@
             channel.other(new Order.TellPeer(new PeerId(-1), Arrays.copyOf(text.array(), text.position())));
         }
 
-        private void leave(int i) {
-            channel.withdraw(i, true);
-            for (Proxy p : proxies.values()) {
-                if (p.joined && p.bound && p.line(i) > 0 && !urgent.contains(p)) urgent.add(p);
-            }
-        }
-
         /** Called once at the end of a moment. */
         void plan() {
             boolean turn = sumsCame && now - lastTurn >= set.sumsEvery() * 9 / 10;
@@ -504,7 +499,7 @@
             for (Proxy p : proxies.values()) {
                 // Tables from before a start are left alone until sums came, but what left may be all of one.
                 boolean late = anyOut && now - p.joinedAt > set.emptyLimit() / 2;
-                if (p.joined && !p.bound && (p.fresh || turns >= SETTLE_TURNS || late)) {
+                if (p.joined && (p.bound ? p.broken() : p.fresh || turns >= SETTLE_TURNS || late)) {
                     urgent.add(p);
                 } else if (p.joined && !p.bound && !p.warned) {
                     // Its tables may name what left, and withdrawals don't reach later joiners.
@@ -512,31 +507,25 @@
                     for (int i = 0; i < tasks; i++) if (!live(i)) channel.withdraw(i, true);
                 }
             }
-            urgent.removeIf(p -> !p.joined || !channel.roomForUrgent(p));
+            urgent.removeIf(p -> !channel.roomForUrgent(p));
             if (urgent.isEmpty() && !turn) return;
             weighCapacity();
             if (turn) enter();
             List<Proxy> known = new ArrayList<>();
-            List<double[]> targets = new ArrayList<>();
             planned = new double[tasks];
             for (Proxy p : proxies.values()) {
-                if (p.joined && (p.bound || urgent.contains(p))) {
-                    double[] target = lineUp(p);
-                    known.add(p);
-                    targets.add(target);
-                    for (int i = 0; i < tasks; i++) planned[i] += p.ops * target[i];
-                }
-            }
-            weigh(known, targets);
-            capCold(known, targets);
-            for (int k = 0; k < known.size(); k++) {
-                Proxy p = known.get(k);
-                if (urgent.contains(p)) send(new Move(p, targets.get(k)), 1);
-            }
+                if (!p.joined || !p.bound && !urgent.contains(p)) continue;
+                known.add(p);
+                lineUp(p);
+                for (int i = 0; i < tasks; i++) planned[i] += p.ops * p.target[i];
+            }
+            weigh(known);
+            capCold(known);
+            for (Proxy p : known) if (urgent.contains(p)) send(p, 1);
             if (turn) {
                 levels();
                 tellPeers();
-                rounds(known, targets);
+                rounds(known);
             }
             urgent.clear();
         }
@@ -584,7 +573,7 @@
             return Math.max(0.01, Math.min(1, joined / set.proxies()));
         }
 
-        /** Capacity of each task, ops a second: from the cost of its ops, else listed weight and the average. */
+        /** Capacity of each task, ops a second: from the cost of its ops, else by listed weight. */
         private void weighCapacity() {
             capacity = new double[tasks];
             demand = proxies.values().stream().mapToDouble(p -> p.joined ? p.ops : 0).sum();
@@ -603,23 +592,21 @@
         }
 
         /**
-         * A cold task falls over when too much is tried there, even what it refuses, so its lines stay under that.
-         * Repeats, and ops that proxies keep from failing lines by themselves, crowd on the lines that are left.
+         * A cold task falls over when too much is tried there, what it refuses too; its lines stay under it.
+         * Repeats, and ops that proxies themselves keep from failing lines, crowd on the lines that are left.
          */
-        private void capCold(List<Proxy> known, List<double[]> targets) {
-            double[] crowd = new double[known.size()];
-            for (int k = 0; k < crowd.length; k++) {
+        private void capCold(List<Proxy> known) {
+            double[] load = new double[tasks];
+            for (Proxy p : known) {
                 double good = 0;
-                Proxy p = known.get(k);
-                for (int i = 0; i < tasks; i++) good += targets.get(k)[i] * (1 - badShare(p.zoneIndex, i));
-                crowd[k] = p.ops * triesPerOp / Math.max(GOOD_LEAST, good);
+                for (int i = 0; i < tasks; i++) good += p.target[i] * (1 - badShare(p.zoneIndex, i));
+                double crowd = p.ops * triesPerOp / Math.max(GOOD_LEAST, good);
+                for (int i = 0; i < tasks; i++) load[i] += crowd * p.target[i];
             }
             for (int i = 0; i < tasks; i++) {
-                if (!live(i) || warmth(i) >= 1) continue;
-                double load = 0;
-                for (int k = 0; k < crowd.length; k++) load += crowd[k] * targets.get(k)[i];
                 double most = COLD_FILL * capacity[i] * share();
-                for (int k = 0; k < crowd.length && load > most; k++) targets.get(k)[i] *= most / load;
+                if (!live(i) || warmth(i) >= 1 || load[i] <= most) continue;
+                for (Proxy p : known) p.target[i] *= most / load[i];
             }
         }
 
@@ -640,9 +627,10 @@
 
         private double badShare(int z, int i) { return bad[z][i] / (tries[z][i] + DOUBT); }
 
-        /** The table that a proxy keeps: its lines, with what left swapped for live tasks; drawn if it has none. */
-        private double[] lineUp(Proxy p) {
+        /** The table that a proxy keeps: its lines, with what left swapped for live tasks. */
+        private void lineUp(Proxy p) {
             double[] target = new double[tasks];
+            p.target = target;
             int count = 0;
             double sum = 0;
             for (int i = 0; i < tasks; i++) {
@@ -666,34 +654,37 @@
             }
             int wantedLines = Math.max(LINES_LEAST, set.standingLines());
             double each = count == 0 ? 0 : sum / count;
+            if (IntStream.range(0, tasks).noneMatch(i -> target[i] > 0 && warmth(i) >= 1)) {
+                // A table of cold tasks alone would push them over, or be empty where their lines are capped.
+                int i = draw(p, target, 1);
+                if (i >= 0) target[i] = count++ == 0 ? capacity[i] : 1;
+            }
             while (count < wantedLines) {
-                int i = draw(p, target);
+                int i = draw(p, target, 0);
                 if (i < 0) break;
                 target[i] = each > 0 ? Math.max(LINE_LEAST, (1 - sum) / Math.max(1, wantedLines - count))
                         : capacity[i] * (zone[i] == p.zoneIndex ? 1 : AWAY_START);
                 count++;
             }
             normalise(target);
-            return target;
         }
 
-        private int draw(Proxy p, double[] target) {
+        /** A warm enough task not named yet, drawn by listed weight, warmth, room and zone; -1 if none. */
+        private int draw(Proxy p, double[] target, double warmEnough) {
+            double[] weight = new double[tasks];
             double all = 0;
-            for (int i = 0; i < tasks; i++) all += drawWeight(p, target, i);
-            double at = chance() * all;
             for (int i = 0; i < tasks; i++) {
-                double w = drawWeight(p, target, i);
-                if (w > 0 && (at -= w) < 0) return i;
+                if (!live(i) || target[i] > 0 || warmth(i) < warmEnough) continue;
+                weight[i] = listed[i] * warmth(i)
+                        * Math.max(ROOM_LEAST, 1 - planned[i] / (capacity[i] * share()))
+                        * (zone[i] == p.zoneIndex ? HOME_PULL : 1) * (1.02 - badShare(p.zoneIndex, i));
+                all += weight[i];
             }
+            double at = chance() * all;
+            for (int i = 0; i < tasks; i++) if (weight[i] > 0 && (at -= weight[i]) < 0) return i;
             return -1;
         }
 
-        private double drawWeight(Proxy p, double[] target, int i) {
-            return !live(i) || target[i] > 0 ? 0
-                    : listed[i] * warmth(i) * Math.max(ROOM_LEAST, 1 - planned[i] / (capacity[i] * share()))
-                    * (zone[i] == p.zoneIndex ? HOME_PULL : 1) * (1.02 - badShare(p.zoneIndex, i));
-        }
-
         /** New and returned tasks take the most loaded line of a weight-drawn share of tables. */
         private void enter() {
             double allListed = sum(i -> listed[i]);
@@ -742,40 +733,28 @@
         private double fill(int i) { return total(i) / Math.max(1e-9, capacity[i]); }
 
         /** Weights of the lines: ops flow to where the next one loses least, crossing zones at its price. */
-        private void weigh(List<Proxy> known, List<double[]> targets) {
+        private void weigh(List<Proxy> known) {
             double[] load = new double[tasks];
-            for (int i = 0; i < tasks; i++) load[i] = Math.max(0, total(i) - rate[i]);
-            for (int k = 0; k < known.size(); k++) {
-                for (int i = 0; i < tasks; i++) load[i] += known.get(k).ops * targets.get(k)[i];
+            for (int i = 0; i < tasks; i++) {
+                load[i] = Math.max(0, total(i) - rate[i]);
+                for (Proxy p : known) load[i] += p.ops * p.target[i];
             }
             for (int round = 0; round < WEIGHING_ROUNDS; round++) {
                 double steep = 1;
-                for (int i = 0; i < tasks; i++) {
-                    if (capacity[i] > 0) {
-                        double f = Math.min(FILL_MOST, load[i] / capacity[i]);
-                        steep = Math.max(steep, LOSS_POWER * (LOSS_POWER + 1) * Math.pow(f, LOSS_POWER) / 2);
-                    }
-                }
-                double step = 0.5 / steep;
-                for (int k = 0; k < known.size(); k++) {
-                    Proxy p = known.get(k);
-                    double[] t = targets.get(k);
+                for (int i = 0; i < tasks; i++) steep = Math.max(steep, LOSS_POWER * lossPrice(load[i], i));
+                for (Proxy p : known) {
+                    double[] t = p.target;
                     double[] price = new double[tasks];
                     double mean = 0;
                     for (int i = 0; i < tasks; i++) {
-                        if (t[i] > 0) {
-                            double f = Math.min(FILL_MOST, load[i] / Math.max(1e-9, capacity[i]));
-                            price[i] = (LOSS_POWER + 1) * Math.pow(f, LOSS_POWER) / 2
-                                    + (zone[i] == p.zoneIndex ? 0 : set.crossZonePrice())
-                                    + FAIL_PRICE * badShare(p.zoneIndex, i);
-                            mean += t[i] * price[i];
-                        }
+                        price[i] = lossPrice(load[i], i) + (zone[i] == p.zoneIndex ? 0 : set.crossZonePrice())
+                                + FAIL_PRICE * badShare(p.zoneIndex, i);
+                        mean += t[i] * price[i];
                     }
                     for (int i = 0; i < tasks; i++) {
                         load[i] -= p.ops * t[i];
-                        if (t[i] > 0) {
-                            t[i] = Math.max(LINE_LEAST, t[i] * Math.exp(-step * (price[i] - mean)));
-                        }
+                        double by = Math.exp((mean - price[i]) / 2 / steep);
+                        if (t[i] > 0) t[i] = Math.max(LINE_LEAST, t[i] * by);
                     }
                     normalise(t);
                     for (int i = 0; i < tasks; i++) load[i] += p.ops * t[i];
@@ -783,28 +762,32 @@
             }
         }
 
+        /** Ops lost for one more op on a task: the slope of a power of its fill. */
+        private double lossPrice(double load, int i) {
+            double fill = capacity[i] > 0 ? Math.min(FILL_MOST, load / capacity[i]) : 0;
+            return (LOSS_POWER + 1) * Math.pow(fill, LOSS_POWER) / 2;
+        }
+
         /** A round: moves by potential time, then traffic, each admitted only where its targets have room. */
-        private void rounds(List<Proxy> known, List<double[]> targets) {
+        private void rounds(List<Proxy> known) {
             moving.removeIf(f -> now - f.at > SHOWS_AFTER);
             double[] room = headroom();
-            List<Move> moves = new ArrayList<>();
-            for (int k = 0; k < known.size(); k++) {
-                Proxy p = known.get(k);
+            List<Proxy> moves = new ArrayList<>();
+            for (Proxy p : known) {
                 if (urgent.contains(p)) continue;
-                aimAtRoom(p, targets.get(k), room);
+                aimAtRoom(p, p.target, room);
                 double change = 0;
-                for (int i = 0; i < tasks; i++) change += Math.abs(targets.get(k)[i] - p.line(i)) / 2;
-                boolean entry = false;
-                for (int to : p.swap.values()) entry |= p.line(to) <= 0 || warmth(to) >= 1;
-                if (change >= MOVE_LEAST || entry) moves.add(new Move(p, targets.get(k)));
-            }
-            if (moves.isEmpty()) return;
-            for (Move m : moves) potential(m, moves, room);
-            moves.sort(Comparator.<Move>comparingDouble(m -> -m.potential)
-                    .thenComparingDouble(m -> -m.proxy.ops).thenComparingInt(m -> m.proxy.id.number()));
+                for (int i = 0; i < tasks; i++) change += Math.abs(p.target[i] - p.line(i)) / 2;
+                boolean entry = p.swap.values().stream().anyMatch(to -> p.line(to) <= 0 || warmth(to) >= 1);
+                if (change >= MOVE_LEAST || entry) moves.add(p);
+            }
+            for (Proxy m : moves) m.potential = -1;
+            for (Proxy m : moves) potential(m, moves, room);
+            moves.sort(Comparator.<Proxy>comparingDouble(m -> -m.potential).thenComparingDouble(m -> -m.ops)
+                    .thenComparingInt(m -> m.id.number()));
             boolean admitted = false;
-            for (Move m : moves) {
-                if (channel.roomForRoutine(m.proxy) && yieldRatio(m, room) <= 0) {
+            for (Proxy m : moves) {
+                if (channel.roomForRoutine(m) && yieldRatio(m, room) <= 0) {
                     take(m, room, 1);
                     send(m, 1);
                     admitted = true;
@@ -814,11 +797,11 @@
             for (Freed f : moving) awaiting |= !f.answered && now - f.at < CREDIT_WAIT;
             if (admitted || awaiting) return;
             // Deadlock: the move that yields least goes with the part that fits.
-            Move least = null;
+            Proxy least = null;
             double leastRatio = 1;
-            for (Move m : moves) {
+            for (Proxy m : moves) {
                 double ratio = yieldRatio(m, room);
-                if (ratio < leastRatio && channel.roomForRoutine(m.proxy)) {
+                if (ratio < leastRatio && channel.roomForRoutine(m)) {
                     least = m;
                     leastRatio = ratio;
                 }
@@ -868,12 +851,12 @@
             return proxies.values().stream().mapToDouble(p -> p.bound ? p.ops * p.line(i) : 0).sum();
         }
 
-        private void take(Move m, double[] room, double share) {
+        private void take(Proxy m, double[] room, double share) {
             for (int i = 0; i < tasks; i++) room[i] -= Math.max(0, m.part(i) * share);
         }
 
         /** The part of a move that its fullest task has no room for; above 0 it doesn't fit as a whole. */
-        private double yieldRatio(Move m, double[] room) {
+        private double yieldRatio(Proxy m, double[] room) {
             double least = 1;
             for (int i = 0; i < tasks; i++) {
                 if (m.part(i) > 1e-6) least = Math.min(least, room[i] / m.part(i));
@@ -882,12 +865,12 @@
         }
 
         /** A move's own time and the deepest of the moves that wait for room where it frees some. */
-        private double potential(Move m, List<Move> moves, double[] room) {
+        private double potential(Proxy m, List<Proxy> moves, double[] room) {
             if (m.open) return CYCLE;
             if (m.potential >= 0) return m.potential;
             m.open = true;
             double deepest = 0;
-            for (Move w : moves) {
+            for (Proxy w : moves) {
                 if (w != m && waitsFor(w, m, room)) {
                     deepest = Math.max(deepest, potential(w, moves, room));
                 }
@@ -897,7 +880,7 @@
             return m.potential;
         }
 
-        private boolean waitsFor(Move w, Move m, double[] room) {
+        private boolean waitsFor(Proxy w, Proxy m, double[] room) {
             for (int i = 0; i < tasks; i++) {
                 if (m.part(i) < -1e-6 && w.part(i) > 1e-6 && w.part(i) > room[i]) return true;
             }
@@ -905,16 +888,16 @@
         }
 
         /** Orders a move, or the given share of it, and books the load that it shifts. */
-        private void send(Move m, double share) {
-            Proxy p = m.proxy;
+        private void send(Proxy p, double share) {
             double[] next = new double[tasks];
             Freed f = new Freed();
             for (int i = 0; i < tasks; i++) {
-                double want = live(i) ? p.line(i) + share * (m.target[i] - p.line(i)) : 0;
+                double want = live(i) ? p.line(i) + share * (p.target[i] - p.line(i)) : 0;
                 want = Math.round(want * 1000) / 1000.0;
                 next[i] = p.line(i);
                 if (differs(want, p.line(i))) {
                     channel.line(p, i, want);
+                    if (want > 0) channel.withdraw(i, false);
                     next[i] = want;
                     f.parts.put(i, p.ops * (want - (p.bound ? p.line(i) : 0)));
                 }
--- /dev/null
+++ b/src/test/java/stonespring/decision/AssignerTest.java
@@ -0,0 +1,331 @@
+package stonespring.decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static stonespring.decision.Fleet.SECOND;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import stonespring.model.Event;
+import stonespring.model.Listing;
+import stonespring.model.Order;
+import stonespring.model.Settings;
+
+/** Plain cases, and seeded random runs that check the rules after every step. */
+final class AssignerTest {
+    private static final Listing.State READY = Listing.State.READY;
+
+    private static Fleet fleet(int tasks, int proxies) {
+        Fleet f = new Fleet(Fleet.settings(1, Settings.LevelKind.SHARE, 30, 4));
+        for (int i = 0; i < tasks; i++) {
+            f.list.put("t" + i, Fleet.listing("t" + i, i % 2, READY, 0));
+        }
+        f.start(7);
+        for (int p = 0; p < proxies; p++) {
+            f.join(p, p % 2, 10, true);
+        }
+        f.step(1);
+        return f;
+    }
+
+    /** Turns of one second each: sums, a step, and answers to all that was ordered. */
+    private static void turns(Fleet f, int count, double busyPerOp, Map<String, Double> bad) {
+        for (int i = 0; i < count; i++) {
+            f.sums(busyPerOp, bad);
+            f.step(SECOND);
+            f.due.addAll(f.answers);
+            f.answers.clear();
+            f.checkRules("turn " + i);
+        }
+    }
+
+    private static <T extends Order> List<T> of(Fleet f, Class<T> kind) {
+        return f.last.stream().filter(kind::isInstance).map(kind::cast).toList();
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16})
+    void keepsTheRulesInRandomTrouble(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        Settings.LevelKind levels = Settings.LevelKind.values()[random.nextInt(2)];
+        Fleet f = new Fleet(Fleet.settings(1 + random.nextInt(2), levels, random.nextInt(2) * 30, 2 + random.nextInt(5)));
+        int named = 4 + random.nextInt(8);
+        for (int i = 0; i < named; i++) {
+            f.list.put("t" + i, Fleet.listing("t" + i, random.nextInt(2), READY, 0));
+        }
+        f.start(seed);
+        TreeMap<String, Double> bad = new TreeMap<>();
+        for (int step = 0; step < 1500; step++) {
+            int what = random.nextInt(100);
+            List<String> tasks = new ArrayList<>(f.list.keySet());
+            String task = tasks.isEmpty() ? null : tasks.get(random.nextInt(tasks.size()));
+            int proxy = random.nextInt(8);
+            Fleet.Seen seen = f.proxies.get(proxy);
+            if (what < 8) {
+                if (seen == null || !seen.joined) {
+                    f.join(proxy, random.nextInt(2), 1 + random.nextInt(20), seen == null || random.nextInt(2) == 0);
+                } else if (what < 3) {
+                    f.leave(proxy);
+                }
+            } else if (what < 11 && task != null && tasks.size() > 2) {
+                f.listed(task, f.list.get(task).zone().index(), Listing.State.DRAINING, f.list.get(task).startedAt());
+            } else if (what < 13 && task != null && tasks.size() > 2) {
+                f.listed(task, f.list.get(task).zone().index(), Listing.State.GONE, 0);
+            } else if (what < 15 && task != null) {
+                f.listed(task, f.list.get(task).zone().index(), READY, f.now);
+            } else if (what < 18 && tasks.size() < 14) {
+                f.listed("t" + named++, random.nextInt(2), READY, f.now - random.nextInt(30_000));
+            } else if (what < 19) {
+                bad.put("t" + random.nextInt(named), random.nextInt(3) / 2.0);
+            } else if (what == 20 && random.nextInt(4) == 0) {
+                restart(f, seed + step);
+            } else if (what < 40 && random.nextInt(3) > 0) {
+                f.due.addAll(f.answers);
+                f.answers.clear();
+            } else if (what < 70) {
+                f.sums(0.02 + random.nextDouble() / 10, bad);
+            }
+            // Now and then the assigner stands still, and all that came in between comes at once.
+            f.step(random.nextInt(50) == 0 ? 2 * SECOND : random.nextInt(6000));
+            f.checkRules("seed " + seed + ", step " + step);
+        }
+    }
+
+    /** The assigner is killed: proxies keep what they hold, its tables and withdrawals are gone. */
+    private static void restart(Fleet f, long seed) {
+        f.start(seed);
+        for (Fleet.Seen p : f.proxies.values()) {
+            if (p.joined) {
+                f.join(p.number, p.zone, p.ops, false);
+            }
+        }
+    }
+
+    @Test
+    void sameEventsGiveSameOrders() {
+        Fleet a = fleet(8, 6);
+        Fleet b = fleet(8, 6);
+        for (int i = 0; i < 20; i++) {
+            for (Fleet f : List.of(a, b)) {
+                f.sums(0.03, Map.of("t1", 0.5));
+                if (f.list.size() == 8) {
+                    f.listed("new", 0, READY, f.now);
+                }
+                f.step(SECOND);
+            }
+            assertEquals(a.last, b.last);
+        }
+    }
+
+    @Test
+    void joinedProxiesGetKnownTablesAtOnce() {
+        Fleet f = fleet(8, 4);
+        assertEquals(4, of(f, Order.Bind.class).size());
+        for (Fleet.Seen p : f.proxies.values()) {
+            assertEquals(4, f.lines(p).size());
+        }
+        assertEquals(1, of(f, Order.Mark.class).size(), "answers are asked for");
+    }
+
+    @Test
+    void drainsLeaveAtOnceAndAreSwappedInTheSameReply() {
+        Fleet f = fleet(8, 4);
+        turns(f, 3, 0.03, Map.of());
+        f.listed("t0", 0, Listing.State.DRAINING, 0);
+        f.step(10);
+        assertEquals(1, of(f, Order.Withdraw.class).size());
+        assertEquals(0, f.load("t0"));
+        for (Fleet.Seen p : f.proxies.values()) {
+            assertEquals(4, f.lines(p).size(), "what left is swapped for a live task");
+        }
+    }
+
+    @Test
+    void restartedAssignerLeavesTablesAloneUntilSumsAreHeard() {
+        Fleet f = fleet(8, 4);
+        turns(f, 3, 0.03, Map.of());
+        restart(f, 9);
+        f.step(10);
+        assertTrue(of(f, Order.Bind.class).isEmpty());
+        assertTrue(of(f, Order.Withdraw.class).isEmpty());
+        f.listed("t0", 0, Listing.State.GONE, 0);
+        f.step(10);
+        assertEquals(1, of(f, Order.Withdraw.class).size(), "rules act before sums are heard");
+        List<Order.Bind> binds = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            f.due.add(new Event.TaskSums(new stonespring.model.TaskId("t1"), new stonespring.model.ZoneId(0), 10, 0,
+                    SECOND, 1000, stonespring.model.LoadReport.NONE));
+            f.step(SECOND);
+            binds.addAll(of(f, Order.Bind.class));
+        }
+        assertEquals(4, binds.size());
+    }
+
+    @Test
+    void laterJoinersAreToldOfWithdrawalsAgain() {
+        Fleet f = fleet(8, 2);
+        restart(f, 9);
+        f.listed("t0", 0, Listing.State.GONE, 0);
+        f.step(10);
+        f.join(5, 0, 10, false);
+        f.step(10);
+        assertTrue(f.proxies.get(5).withdrawn.contains("t0"));
+    }
+
+    @Test
+    void restartedTaskIsColdAndGetsNoMoreThanItSurelyCanDo() {
+        Fleet f = fleet(6, 8);
+        turns(f, 10, 0.04, Map.of());
+        assertTrue(f.load("t2") > 5);
+        f.listed("t2", 0, Listing.State.GONE, 0);
+        f.step(SECOND);
+        f.listed("t2", 0, READY, f.now);
+        for (int i = 0; i < 12; i++) {
+            turns(f, 1, 0.04, Map.of());
+            double sure = Math.min(1, 0.2 + 0.8 * (i + 1) / 10) / 0.04;
+            assertTrue(f.load("t2") <= 1.3 * sure, "turn " + i + ": " + f.load("t2") + " of " + sure);
+        }
+        assertTrue(f.load("t2") > 5, "it comes back as it warms: " + f.load("t2"));
+    }
+
+    /** In a jam proxies crowd on the lines that still answer: a cold one must count for all of them. */
+    @Test
+    void crowdingInAJamKeepsColdLinesThin() {
+        Fleet calm = fleet(3, 8);
+        Fleet jam = fleet(3, 8);
+        for (Fleet f : List.of(calm, jam)) {
+            turns(f, 10, 0.03, Map.of());
+            f.listed("cold", 0, READY, f.now);
+        }
+        turns(calm, 4, 0.03, Map.of());
+        Map<String, Double> bad = new TreeMap<>();
+        jam.list.keySet().stream().filter(t -> !t.equals("cold")).forEach(t -> bad.put(t, 0.9));
+        turns(jam, 4, 0.03, bad);
+        assertTrue(jam.load("cold") < 0.75 * calm.load("cold"), jam.load("cold") + " and " + calm.load("cold"));
+    }
+
+    @Test
+    void failingTaskLosesItsOpsButKeepsALineThatShowsItsReturn() {
+        Fleet f = fleet(8, 8);
+        turns(f, 5, 0.03, Map.of());
+        double before = f.load("t3");
+        turns(f, 10, 0.03, Map.of("t3", 1.0));
+        assertTrue(f.load("t3") < before / 3, before + " to " + f.load("t3"));
+        assertTrue(f.load("t3") > 0);
+    }
+
+    /** What fails alike everywhere is no task's fault: symptoms alone withdraw nobody. */
+    @Test
+    void nothingMovesWhenAllFailAlike() {
+        Fleet f = fleet(8, 8);
+        turns(f, 10, 0.03, Map.of());
+        Map<String, Double> bad = new TreeMap<>();
+        f.list.keySet().forEach(t -> bad.put(t, 0.7));
+        turns(f, 6, 0.03, bad);
+        for (String task : f.list.keySet()) {
+            assertTrue(f.load(task) > 2, task + " kept " + f.load(task));
+        }
+    }
+
+    /** Rates once came from one span for all lines and read far too low, so that quiet days were rejected. */
+    @Test
+    void nothingIsRejectedWhileTasksHaveTime() {
+        Fleet f = fleet(8, 8);
+        turns(f, 20, 0.05, Map.of());
+        assertEquals(1, f.level);
+        assertEquals(Order.Retry.ON_PROOF, f.retry.get(0));
+    }
+
+    @Test
+    void whatTasksCantCarryIsRejectedAndLetInAgain() {
+        Fleet f = fleet(8, 8);
+        turns(f, 5, 0.05, Map.of());
+        turns(f, 60, 0.2, Map.of());
+        assertTrue(f.level < 0.95, "level " + f.level);
+        assertEquals(Order.Retry.NEVER, f.retry.get(0), "nothing repeats while there is too much");
+        turns(f, 30, 0.03, Map.of());
+        assertEquals(1, f.level);
+    }
+
+    /** Chance once left two tasks in no table while the rest ran full. */
+    @Test
+    void idleTasksComeIntoTables() {
+        Fleet f = fleet(16, 3);
+        turns(f, 60, 0.05, Map.of());
+        long idle = f.list.keySet().stream().filter(t -> f.load(t) == 0).count();
+        assertTrue(idle <= 6, idle + " of 16 tasks idle with 3 tables of 4 lines");
+    }
+
+    /** Several tasks that came in one turn once overwrote each other's entries. */
+    @Test
+    void aGrowingFleetIsUsed() {
+        Fleet f = fleet(6, 8);
+        turns(f, 5, 0.04, Map.of());
+        for (int i = 0; i < 10; i++) {
+            f.listed("new" + i, i % 2, READY, f.now);
+        }
+        turns(f, 25, 0.04, Map.of());
+        long used = f.list.keySet().stream().filter(t -> t.startsWith("new") && f.load(t) > 0.5).count();
+        assertTrue(used >= 8, used + " of 10 new tasks used");
+    }
+
+    /** A move waits until its target has room: freed room counts on the answer, or after two seconds. */
+    @Test
+    void linesOfAFullTaskDontGrow() {
+        Fleet f = fleet(6, 8);
+        turns(f, 10, 0.04, Map.of());
+        double mean = 80.0 / 6;
+        for (int i = 0; i < 10; i++) {
+            turns(f, 1, 0.04, Map.of("t0", 1.0, "t1", 1.0));
+            for (String task : f.list.keySet()) {
+                assertTrue(f.load(task) < 2 * mean, task + " took " + f.load(task) + ", the mean is " + mean);
+            }
+        }
+    }
+
+    @Test
+    void routineOrdersLeaveRoomInAProxysMessages() {
+        Fleet f = fleet(8, 4);
+        for (int i = 0; i < 100; i++) {
+            f.sums(0.03 + (i % 7) / 100.0, Map.of("t" + i % 8, 0.9));
+            f.step(SECOND);
+            f.checkRules("turn " + i);
+            for (Fleet.Seen p : f.proxies.values()) {
+                assertTrue(p.messages.size() <= 20, "routine messages: " + p.messages.size());
+            }
+        }
+    }
+
+    @Test
+    void failedFollowIsTriedAgainAndTheListKept() {
+        Settings s = Fleet.settings(1, Settings.LevelKind.SHARE, 30, 4);
+        Settings asks = new Settings(s.self(), s.assigners(), s.zones(), s.opTypes(), true, s.askEvery(), s.levelKind(),
+                s.backlogLines(), s.messageHead(), s.messagesMost(), s.messagesOver(), s.linesPerSecond(),
+                s.emptyLimit(), s.standingLines(), s.proxies(), s.sumsEvery(), 0, false, 0, 0, 0.1, false, s.coldTime(),
+                0.2, 3, 2 * SECOND, 2 * SECOND);
+        Fleet f = new Fleet(asks);
+        f.list.put("t0", Fleet.listing("t0", 0, READY, 0));
+        f.start(3);
+        f.step(1);
+        assertEquals(List.of(new Order.FollowList(true)), of(f, Order.FollowList.class));
+        f.due.add(new Event.ListTold(Event.ListKind.FAILED, List.of()));
+        f.step(1);
+        assertFalse(f.last.contains(new Order.FollowList(true)), "not at once");
+        int asked = 0;
+        for (int i = 0; i < 10; i++) {
+            f.step(SECOND);
+            asked += of(f, Order.FollowList.class).size();
+        }
+        assertTrue(asked >= 1);
+        f.join(0, 0, 1, true);
+        f.step(1);
+        assertEquals(1, f.lines(f.proxies.get(0)).size(), "the old list still holds");
+    }
+}
