--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -47,9 +47,12 @@
     private static final double DOWN_SHARE = 0.8; // bad share; down for all, and cold when it answers again
     private static final double DOUBT = 2; // tries; fewer say nothing of a bad share
     // Levels and cold tasks.
-    private static final double ADMIT_FILL = 0.92; // share of capacity; above it queues outgrow the targets
-    private static final double SHED_FILL = 0.8; // busy share; under it tasks have time and all is let in
-    private static final double LEVEL_RISE = 1.15; // times a turn; all is let in again within seconds
+    private static final double ADMIT_FILL = 0.9; // share of capacity; above it queues outgrow the targets
+    private static final double JAM = 0.2; // bad share of tries of busy tasks; twice what calm allows
+    private static final double LEVEL_CUT = 0.6; // times; a jam clears within a few cuts
+    private static final double CUT_MOST = 0.4; // times what the capacity read allows; symptoms cut no deeper
+    private static final long CUT_WAIT = 20_000; // 0.1 ms; a cut shows in the sums by then
+    private static final long LEVEL_LAG = 30_000; // 0.1 ms; a change of level shows in the sums by then
     private static final double LEVEL_LEAST = 0.05; // share; some ops must show whether tasks work
     private static final double LEVEL_STEP = 0.05; // share; less is not worth a message to every proxy
     private static final double COLD_FILL = 1; // tries per sure capacity; a third of the usual limit
@@ -76,7 +79,7 @@
     private record Told(Event event) implements Note { }
     private record Leaving(int task) implements Note { }
     private record Entering(int task) implements Note { }
-    private record Heard() implements Note { }
+    private record Heard(long tries, long bad) implements Note { }
     private abstract class Part {
         private final ArrayDeque<Note> inbox = new ArrayDeque<>();
 
@@ -287,7 +290,7 @@
                 down[index] = false;
                 started[index] = Math.max(started[index], now - Tenths.SECOND);
             }
-            post(planner, new Heard());
+            post(planner, new Heard(e.tries(), e.bad()));
         }
     }
 
@@ -432,7 +435,8 @@
         private final ArrayList<Proxy> urgent = new ArrayList<>();
         private final ArrayList<Freed> moving = new ArrayList<>();
         private boolean sumsCame;
-        private long lastTurn = NEVER, toldPeers = NEVER, peerAt = NEVER;
+        private long turnTries, turnBad;
+        private long lastTurn = NEVER, lastCut = NEVER, toldPeers = NEVER, peerAt = NEVER;
         private int turns;
         private double[] capacity = new double[0], planned = new double[0];
         private double demand, peerDemand, triesPerOp = 1, level = 1;
@@ -442,7 +446,11 @@
         @Override void on(Note note) {
             if (note instanceof Leaving l) channel.withdraw(l.task(), true);
             if (note instanceof Entering e) entrants.add(e.task());
-            if (note instanceof Heard) sumsCame = true;
+            if (note instanceof Heard h) {
+                sumsCame = true;
+                turnBad += h.bad();
+                turnTries += h.tries();
+            }
             if (note instanceof Told t && t.event() instanceof Event.PeerSaid said) peerSaid(said);
         }
 
@@ -610,16 +618,25 @@
             }
         }
 
-        /** Levels: what the tasks can't carry is rejected at once, the op types of least benefit first. */
+        /**
+         * Levels: what the tasks can't carry is rejected at once. In a jam, work is in vain and no capacity can be
+         * read, so levels are cut until it clears, whatever its cause; then they follow the busy share up again.
+         */
         private void levels() {
             if (demand <= 0) return;
-            double all = sum(i -> capacity[i]);
-            double filled = sum(i -> busy[i] >= 0 ? capacity[i] * busy[i] : 0);
             double reported = sum(i -> busy[i] >= 0 ? capacity[i] : 0);
-            double room = ADMIT_FILL * all * share() / demand;
-            double want = filled > SHED_FILL * reported ? Math.max(LEVEL_LEAST, Math.min(1, room))
-                    : Math.min(1, level * LEVEL_RISE);
-            if (want < 1 && Math.abs(want - level) > LEVEL_STEP * level || want == 1 && level < 1) {
+            double fill = reported > 0 ? sum(i -> busy[i] >= 0 ? capacity[i] * busy[i] : 0) / reported : 0;
+            double step = (double) set.sumsEvery() / LEVEL_LAG;
+            double want = Math.min(1, level * Math.pow(ADMIT_FILL / Math.max(fill, BUSY_LEAST), step));
+            double room = ADMIT_FILL * sum(i -> capacity[i]) * share() / demand;
+            if (fill > ADMIT_FILL || level < 1 && fill > USUAL_FILL) want = Math.min(want, room);
+            if (fill > ADMIT_FILL && turnBad > JAM * turnTries && now - lastCut > CUT_WAIT) {
+                lastCut = now;
+                want = Math.min(want, Math.max(level * LEVEL_CUT, room * CUT_MOST));
+            }
+            turnBad = turnTries = 0;
+            want = Math.max(LEVEL_LEAST, want);
+            if (Math.abs(want - level) > LEVEL_STEP * level || want == 1 && level < 1) {
                 level = want;
                 channel.admit(level);
             }
