--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -56,6 +56,8 @@
     private static final double LEVEL_LEAST = 0.05; // share; some ops must show whether tasks work
     private static final double LEVEL_STEP = 0.05; // share; less is not worth a message to every proxy
     private static final double COLD_FILL = 1; // tries per sure capacity; a third of the usual limit
+    private static final double COLD_CROWDED = 0.5; // share of the fall limit for all ops of tables, when full
+    private static final double COLD_OVER = 1.5; // times; a cold task's load that far over its cap is urgent
     private static final double GOOD_LEAST = 0.1; // share; at worst one line in ten takes a proxy's ops
     // Start, list, peers, channel.
     private static final int SETTLE_TURNS = 3; // turns; some rounds of sums before old tables are touched
@@ -283,7 +285,7 @@
             busy[index] = smooth(busy[index], r.busyShare(), keep);
             told[index] = smooth(told[index], r.opsPerSecond(), keep);
             double allTries = over(tries, index);
-            if (allTries > DOUBT && over(bad, index) / allTries > DOWN_SHARE) {
+            if (allTries > DOUBT && over(bad, index) / allTries > DOWN_SHARE && !planner.crowded) {
                 down[index] = true;
             } else if (down[index] && e.bad() * 2 < e.tries()) {
                 // What was down for all and answers again may have started again, cold.
@@ -434,7 +436,7 @@
         private final ArrayList<Integer> entrants = new ArrayList<>();
         private final ArrayList<Proxy> urgent = new ArrayList<>();
         private final ArrayList<Freed> moving = new ArrayList<>();
-        private boolean sumsCame;
+        private boolean sumsCame, crowded;
         private long turnTries, turnBad;
         private long lastTurn = NEVER, lastCut = NEVER, toldPeers = NEVER, peerAt = NEVER;
         private int turns;
@@ -518,7 +520,10 @@
             urgent.removeIf(p -> !channel.roomForUrgent(p));
             if (urgent.isEmpty() && !turn) return;
             weighCapacity();
-            if (turn) enter();
+            if (turn) {
+                levels();
+                enter();
+            }
             List<Proxy> known = new ArrayList<>();
             planned = new double[tasks];
             for (Proxy p : proxies.values()) {
@@ -529,9 +534,8 @@
             }
             weigh(known);
             capCold(known);
-            for (Proxy p : known) if (urgent.contains(p)) send(p, 1);
+            for (Proxy p : known) if (urgent.contains(p) && channel.roomForUrgent(p)) send(p, 1);
             if (turn) {
-                levels();
                 tellPeers();
                 rounds(known);
             }
@@ -605,16 +609,30 @@
          */
         private void capCold(List<Proxy> known) {
             double[] load = new double[tasks];
+            double[] stands = new double[tasks];
             for (Proxy p : known) {
                 double good = 0;
                 for (int i = 0; i < tasks; i++) good += p.target[i] * (1 - badShare(p.zoneIndex, i));
                 double crowd = p.ops * triesPerOp / Math.max(GOOD_LEAST, good);
-                for (int i = 0; i < tasks; i++) load[i] += crowd * p.target[i];
+                for (int i = 0; i < tasks; i++) {
+                    load[i] += crowd * p.target[i];
+                    stands[i] += crowd * p.line(i);
+                }
             }
+            List<Proxy> smallFirst = new ArrayList<>(known);
+            smallFirst.sort(Comparator.comparingDouble(p -> p.ops));
             for (int i = 0; i < tasks; i++) {
+                if (!live(i) || warmth(i) >= 1) continue;
                 double most = COLD_FILL * capacity[i] * share();
-                if (!live(i) || warmth(i) >= 1 || load[i] <= most) continue;
-                for (Proxy p : known) p.target[i] *= most / load[i];
+                double all = COLD_CROWDED * set.fallMultiple() * capacity[i] * share();
+                for (Proxy p : smallFirst) {
+                    if (load[i] > most) p.target[i] *= most / load[i];
+                    // A proxy that shuns all its other lines sends all it has to this one, whatever its weight.
+                    if (crowded && p.target[i] > 0 && (all -= p.ops * level) < 0) p.target[i] = 0;
+                    // Ops that grew since a line was set don't wait until other tasks have room for them.
+                    if (p.line(i) > 0 && (p.target[i] <= 0 || stands[i] > COLD_OVER * most
+                            && p.target[i] < p.line(i) / COLD_OVER)) urgent.add(p);
+                }
             }
         }
 
@@ -629,6 +647,7 @@
             double step = (double) set.sumsEvery() / LEVEL_LAG;
             double want = Math.min(1, level * Math.pow(ADMIT_FILL / Math.max(fill, BUSY_LEAST), step));
             double room = ADMIT_FILL * sum(i -> capacity[i]) * share() / demand;
+            crowded = fill > ADMIT_FILL || level < 1 || turnBad > CALM * turnTries;
             if (fill > ADMIT_FILL || level < 1 && fill > USUAL_FILL) want = Math.min(want, room);
             if (fill > ADMIT_FILL && turnBad > JAM * turnTries && now - lastCut > CUT_WAIT) {
                 lastCut = now;
