Tasks count as full by bad tries alone; no guess that a task restarted

The mark of a task that was down for all and answers again took jammed tasks for restarted ones, and busy shares alone took cold lines away too early.

--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -44,7 +44,6 @@
     private static final double BUSY_LEAST = 0.15; // share; under it a report's noise rules the cost
     private static final double COST_STEP = 0.05; // share; twenty readings even out a tenth of noise
     private static final double CALM = 0.1; // bad share of tries; above it work is refused or in vain
-    private static final double DOWN_SHARE = 0.8; // bad share; down for all, and cold when it answers again
     private static final double DOUBT = 2; // tries; fewer say nothing of a bad share
     // Levels and cold tasks.
     private static final double ADMIT_FILL = 0.9; // share of capacity; above it queues outgrow the targets
@@ -117,7 +116,7 @@
     private int[] zone = new int[0], costReadings = new int[0];
     private Listing.State[] state = new Listing.State[0];
     private long[] started = new long[0], entered = new long[0];
-    private boolean[] heard = new boolean[0], down = new boolean[0], out = new boolean[0];
+    private boolean[] heard = new boolean[0], out = new boolean[0];
     private double[] listed = new double[0], rate = new double[0], busy = new double[0], cost = new double[0];
     private double[] told = new double[0], others = new double[0];
     private final double[][] bad, tries, zoneRate;
@@ -201,7 +200,6 @@
         started = Arrays.copyOf(started, size);
         entered = Arrays.copyOf(entered, size);
         heard = Arrays.copyOf(heard, size);
-        down = Arrays.copyOf(down, size);
         out = Arrays.copyOf(out, size);
         listed = Arrays.copyOf(listed, size);
         rate = Arrays.copyOf(rate, size);
@@ -233,7 +231,7 @@
         }
 
         private void forget() {
-            heard[index] = down[index] = false;
+            heard[index] = false;
             busy[index] = told[index] = Double.NaN;
             rate[index] = others[index] = costReadings[index] = 0;
             for (double[][] of : List.of(bad, tries, zoneRate)) for (double[] inZone : of) inZone[index] = 0;
@@ -284,14 +282,6 @@
             LoadReport r = e.report();
             busy[index] = smooth(busy[index], r.busyShare(), keep);
             told[index] = smooth(told[index], r.opsPerSecond(), keep);
-            double allTries = over(tries, index);
-            if (allTries > DOUBT && over(bad, index) / allTries > DOWN_SHARE && !planner.crowded) {
-                down[index] = true;
-            } else if (down[index] && e.bad() * 2 < e.tries()) {
-                // What was down for all and answers again may have started again, cold.
-                down[index] = false;
-                started[index] = Math.max(started[index], now - Tenths.SECOND);
-            }
             post(planner, new Heard(e.tries(), e.bad()));
         }
     }
@@ -647,7 +637,7 @@
             double step = (double) set.sumsEvery() / LEVEL_LAG;
             double want = Math.min(1, level * Math.pow(ADMIT_FILL / Math.max(fill, BUSY_LEAST), step));
             double room = ADMIT_FILL * sum(i -> capacity[i]) * share() / demand;
-            crowded = fill > ADMIT_FILL || level < 1 || turnBad > CALM * turnTries;
+            crowded = turnBad > (crowded || level < 1 ? CALM : JAM) * turnTries;
             if (fill > ADMIT_FILL || level < 1 && fill > USUAL_FILL) want = Math.min(want, room);
             if (fill > ADMIT_FILL && turnBad > JAM * turnTries && now - lastCut > CUT_WAIT) {
                 lastCut = now;
