--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -54,10 +54,7 @@
     private static final long LEVEL_LAG = 30_000; // 0.1 ms; a change of level shows in the sums by then
     private static final double LEVEL_LEAST = 0.05; // share; some ops must show whether tasks work
     private static final double LEVEL_STEP = 0.05; // share; less is not worth a message to every proxy
-    private static final double COLD_FILL = 1; // tries per sure capacity; a third of the usual limit
-    private static final double COLD_CROWDED = 0.5; // share of the fall limit for all ops of tables, when full
-    private static final double COLD_OVER = 1.5; // times; a cold task's load that far over its cap is urgent
-    private static final double GOOD_LEAST = 0.1; // share; at worst one line in ten takes a proxy's ops
+    private static final double COLD_CROWDED = 0.5; // share of the fall limit, for all ops of a full table
     // Start, list, peers, channel.
     private static final int SETTLE_TURNS = 3; // turns; some rounds of sums before old tables are touched
     private static final long FOLLOW_RETRY = 5_000; // 0.1 ms; first wait to ask again, doubled each time
@@ -81,6 +78,7 @@
     private record Leaving(int task) implements Note { }
     private record Entering(int task) implements Note { }
     private record Heard(long tries, long bad) implements Note { }
+    private record Said(long at, int ops, Map<Integer, Integer> byTask) { }
     private abstract class Part {
         private final ArrayDeque<Note> inbox = new ArrayDeque<>();
 
@@ -217,8 +215,7 @@
 
     private final class Task extends Part {
         private final TaskId id;
-        private final int index;
-        private final int shortName;
+        private final int index, shortName;
 
         Task(TaskId id) {
             this.id = id;
@@ -289,10 +286,8 @@
     // ---- The list.
 
     private final class Roster extends Part {
-        private long nextFollow = -1;
-        private long followWait = FOLLOW_RETRY;
-        private boolean following;
-        private boolean ticking;
+        private long nextFollow = NEVER, followWait = FOLLOW_RETRY;
+        private boolean following, ticking;
 
         @Override void on(Note note) {
             Event event = ((Told) note).event();
@@ -423,17 +418,15 @@
     }
 
     private final class Planner extends Part {
-        private final ArrayList<Integer> entrants = new ArrayList<>();
-        private final ArrayList<Proxy> urgent = new ArrayList<>();
-        private final ArrayList<Freed> moving = new ArrayList<>();
+        private final List<Integer> entrants = new ArrayList<>();
+        private final List<Proxy> urgent = new ArrayList<>();
+        private final List<Freed> moving = new ArrayList<>();
         private boolean sumsCame, crowded;
-        private long turnTries, turnBad;
-        private long lastTurn = NEVER, lastCut = NEVER, toldPeers = NEVER, peerAt = NEVER;
+        private long turnTries, turnBad, lastTurn = NEVER, lastCut = NEVER, toldPeers = NEVER;
         private int turns;
         private double[] capacity = new double[0], planned = new double[0];
-        private double demand, peerDemand, triesPerOp = 1, level = 1;
-        private final TreeMap<Integer, Map<Integer, Integer>> peers = new TreeMap<>();
-        private final TreeMap<Integer, Long> peerTold = new TreeMap<>();
+        private double demand, peerDemand, level = 1;
+        private final TreeMap<Integer, Said> peers = new TreeMap<>();
 
         @Override void on(Note note) {
             if (note instanceof Leaving l) channel.withdraw(l.task(), true);
@@ -450,26 +443,20 @@
         private void peerSaid(Event.PeerSaid said) {
             ByteBuffer in = ByteBuffer.wrap(said.bytes());
             if (in.remaining() < 2) return;
-            Map<Integer, Integer> heardOps = new HashMap<>();
-            heardOps.put(-1, in.getShort() & 0xffff);
-            while (in.remaining() >= 4) heardOps.put(in.getShort() & 0xffff, in.getShort() & 0xffff);
-            peers.put(said.from().number(), heardOps);
-            peerTold.put(said.from().number(), now);
-            peerAt = now;
-            sumPeers();
+            int all = in.getShort() & 0xffff;
+            Map<Integer, Integer> byTask = new HashMap<>();
+            while (in.remaining() >= 4) byTask.put(in.getShort() & 0xffff, in.getShort() & 0xffff);
+            peers.put(said.from().number(), new Said(now, all, byTask));
         }
 
         private void sumPeers() {
-            peerDemand = 0;
-            Arrays.fill(others, 0);
-            peers.forEach((from, ops) -> {
-                if (now - peerTold.get(from) < PEER_STALE) {
-                    peerDemand += ops.get(-1) / 10.0;
-                    for (int i = 0; i < tasks; i++) {
-                        others[i] += ops.getOrDefault(task[i].shortName, 0) / 10.0;
-                    }
-                }
-            });
+            peers.values().removeIf(said -> now - said.at() >= PEER_STALE);
+            peerDemand = peers.values().stream().mapToInt(Said::ops).sum() / 10.0;
+            for (int i = 0; i < tasks; i++) {
+                int name = task[i].shortName;
+                others[i] = 0;
+                for (Said said : peers.values()) others[i] += said.byTask().getOrDefault(name, 0) / 10.0;
+            }
         }
 
         private void tellPeers() {
@@ -494,8 +481,7 @@
                 lastTurn = now;
                 turns++;
             }
-            boolean anyOut = false;
-            for (int i = 0; i < tasks; i++) anyOut |= !live(i);
+            boolean anyOut = IntStream.range(0, tasks).anyMatch(i -> !live(i));
             for (Proxy p : proxies.values()) {
                 // Tables from before a start are left alone until sums came, but what left may be all of one.
                 boolean late = anyOut && now - p.joinedAt > set.emptyLimit() / 2;
@@ -508,7 +494,8 @@
                 }
             }
             urgent.removeIf(p -> !channel.roomForUrgent(p));
-            if (urgent.isEmpty() && !turn) return;
+            if (set.slices()) urgent.clear();
+            if (set.slices() || urgent.isEmpty() && !turn) return; // slices' tables stand as stored
             weighCapacity();
             if (turn) {
                 levels();
@@ -538,11 +525,8 @@
             for (int i = 0; i < tasks; i++) {
                 rate[i] = 0;
                 for (int z = 0; z < bad.length; z++) {
-                    if (now - lastLine[z][i] > FADE_AFTER + set.sumsEvery()) {
-                        bad[z][i] *= keep;
-                        tries[z][i] *= keep;
-                        zoneRate[z][i] *= keep;
-                    }
+                    boolean fades = now - lastLine[z][i] > FADE_AFTER + set.sumsEvery();
+                    if (fades) for (double[][] of : List.of(bad, tries, zoneRate)) of[z][i] *= keep;
                     rate[i] += zoneRate[z][i];
                 }
                 readCost(i);
@@ -562,15 +546,13 @@
         /** Ops a second that all proxies bring a task: told by it, or heard here and from peers. */
         private double total(int i) {
             if (!Double.isNaN(told[i])) return Math.max(told[i], rate[i]);
-            return peersHeard() ? rate[i] + others[i] : rate[i] / share();
+            return !peers.isEmpty() ? rate[i] + others[i] : rate[i] / share();
         }
 
-        private boolean peersHeard() { return now - peerAt < PEER_STALE; }
-
         /** This assigner's part of all traffic: by what peers say, else by its part of the proxies. */
         private double share() {
             if (set.assigners() == 1) return 1;
-            if (peersHeard()) return Math.max(0.01, demand / Math.max(0.01, demand + peerDemand));
+            if (!peers.isEmpty()) return Math.max(0.01, demand / Math.max(0.01, demand + peerDemand));
             double joined = proxies.values().stream().filter(p -> p.joined).count();
             return Math.max(0.01, Math.min(1, joined / set.proxies()));
         }
@@ -579,7 +561,6 @@
         private void weighCapacity() {
             capacity = new double[tasks];
             demand = proxies.values().stream().mapToDouble(p -> p.joined ? p.ops : 0).sum();
-            triesPerOp = Math.max(1, sum(i -> rate[i]) / Math.max(1, demand));
             double read = sum(i -> costReadings[i] > 0 ? 1 / cost[i] : 0);
             double readListed = sum(i -> costReadings[i] > 0 ? listed[i] : 0);
             double allListed = sum(i -> listed[i]);
@@ -594,41 +575,28 @@
         }
 
         /**
-         * A cold task falls over when too much is tried there, what it refuses too; its lines stay under it.
-         * Repeats, and ops that proxies themselves keep from failing lines, crowd on the lines that are left.
+         * A cold task falls over when too much is tried there, what it refuses too. The weights keep its lines thin,
+         * but a proxy that shuns its other lines sends all it has to this one, whatever its weight. So in a jam
+         * only proxies name it that are small enough all together; the others drop it at once.
          */
         private void capCold(List<Proxy> known) {
-            double[] load = new double[tasks];
-            double[] stands = new double[tasks];
-            for (Proxy p : known) {
-                double good = 0;
-                for (int i = 0; i < tasks; i++) good += p.target[i] * (1 - badShare(p.zoneIndex, i));
-                double crowd = p.ops * triesPerOp / Math.max(GOOD_LEAST, good);
-                for (int i = 0; i < tasks; i++) {
-                    load[i] += crowd * p.target[i];
-                    stands[i] += crowd * p.line(i);
-                }
-            }
+            if (!crowded) return;
             List<Proxy> smallFirst = new ArrayList<>(known);
             smallFirst.sort(Comparator.comparingDouble(p -> p.ops));
             for (int i = 0; i < tasks; i++) {
                 if (!live(i) || warmth(i) >= 1) continue;
-                double most = COLD_FILL * capacity[i] * share();
-                double all = COLD_CROWDED * set.fallMultiple() * capacity[i] * share();
+                double room = COLD_CROWDED * set.fallMultiple() * capacity[i] * share();
                 for (Proxy p : smallFirst) {
-                    if (load[i] > most) p.target[i] *= most / load[i];
-                    // A proxy that shuns all its other lines sends all it has to this one, whatever its weight.
-                    if (crowded && p.target[i] > 0 && (all -= p.ops * level) < 0) p.target[i] = 0;
-                    // Ops that grew since a line was set don't wait until other tasks have room for them.
-                    if (p.line(i) > 0 && (p.target[i] <= 0 || stands[i] > COLD_OVER * most
-                            && p.target[i] < p.line(i) / COLD_OVER)) urgent.add(p);
+                    if (p.target[i] <= 0 || (room -= p.ops * level) >= 0) continue;
+                    p.target[i] = 0;
+                    if (p.line(i) > 0) urgent.add(p);
                 }
             }
         }
 
         /**
-         * Levels: what the tasks can't carry is rejected at once. In a jam, work is in vain and no capacity can be
-         * read, so levels are cut until it clears, whatever its cause; then they follow the busy share up again.
+         * Levels: what the tasks can't carry is rejected at once. A jam's work is in vain and tells no capacity,
+         * so levels are cut until it clears, whatever its cause, and follow the busy share up again.
          */
         private void levels() {
             if (demand <= 0) return;
@@ -714,12 +682,8 @@
         /** New and returned tasks take the most loaded line of a weight-drawn share of tables. */
         private void enter() {
             double allListed = sum(i -> listed[i]);
-            for (Proxy p : proxies.values()) {
-                if (p.joined && !p.bound) {
-                    // A table not known yet may name what returned cold: that stays withdrawn until it is.
-                    return;
-                }
-            }
+            // A table not known yet may name what returned cold: that stays withdrawn until it is.
+            if (proxies.values().stream().anyMatch(p -> p.joined && !p.bound)) return;
             enterIdle();
             for (int e : entrants) {
                 if (!live(e)) continue;
@@ -897,9 +861,7 @@
             m.open = true;
             double deepest = 0;
             for (Proxy w : moves) {
-                if (w != m && waitsFor(w, m, room)) {
-                    deepest = Math.max(deepest, potential(w, moves, room));
-                }
+                if (w != m && waitsFor(w, m, room)) deepest = Math.max(deepest, potential(w, moves, room));
             }
             m.open = false;
             m.potential = Math.min(CYCLE, m.ownTime() + deepest);
@@ -952,10 +914,8 @@
     // ---- The channel: what goes out, how much may wait, and what was answered.
 
     private final class Channel {
-        private final ArrayList<Order> first = new ArrayList<>();
-        private final ArrayList<Order> lines = new ArrayList<>();
-        private final ArrayList<Order> binds = new ArrayList<>();
-        private final ArrayList<Order> others = new ArrayList<>();
+        private final List<Order> first = new ArrayList<>(), lines = new ArrayList<>();
+        private final List<Order> binds = new ArrayList<>(), others = new ArrayList<>();
         private final TreeMap<Integer, Integer> touched = new TreeMap<>();
         private int mark = 1;
         private long emptyAt;
@@ -1019,10 +979,11 @@
                 retriesSet = true;
                 admit(1);
             }
-            List<Order> orders = new ArrayList<>(others);
-            orders.addAll(first);
-            orders.addAll(lines);
-            orders.addAll(binds);
+            List<Order> orders = new ArrayList<>();
+            for (List<Order> some : List.of(others, first, lines, binds)) {
+                orders.addAll(some);
+                some.clear();
+            }
             if (!touched.isEmpty()) {
                 orders.add(new Order.Mark(new MarkId(mark), false));
                 mark = mark % 65_000 + 1;
@@ -1034,10 +995,6 @@
                 double slowRate = set.linesPerSecond() / CHANNEL_SLOW;
                 emptyAt = Math.max(emptyAt, now) + (long) (queued * Tenths.SECOND / slowRate);
             }
-            others.clear();
-            first.clear();
-            lines.clear();
-            binds.clear();
             touched.clear();
             return orders;
         }
