--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -30,6 +30,7 @@
     private static final double HOME_ENTRY = 2; // times; four times as many home tables as others
     private static final double AWAY_START = 0.3; // times; a new table's lines abroad until loads are heard
     private static final int LINES_LEAST = 4; // lines; with fewer a bad task is a third of a proxy's ops
+    private static final double TABLE_FILL = 0.3; // share of its tasks' capacity that one proxy's ops may take
     private static final double IDLE_FILL = 0.6; // share of mean fill; an ordinary spread stays above it
     private static final long ENTER_AGAIN = 50_000; // 0.1 ms; an entry shows in the sums by then
     // The weights of lines.
@@ -646,7 +647,10 @@
                     target[from] = 0;
                 }
             }
-            int wantedLines = Math.max(LINES_LEAST, set.standingLines());
+            // A table too small for its proxy's ops grows: a few tasks can't carry what a large proxy brings.
+            double mean = sum(i -> capacity[i]) / Math.max(1, sum(i -> 1));
+            int wantedLines = Math.max(Math.max(LINES_LEAST, set.standingLines()),
+                    (int) Math.ceil(p.ops / (TABLE_FILL * mean)));
             double each = count == 0 ? 0 : sum / count;
             if (IntStream.range(0, tasks).noneMatch(i -> target[i] > 0 && warmth(i) >= 1)) {
                 // A table of cold tasks alone would push them over, or be empty where their lines are capped.
