In a jam a proxy's cold lines share what it has: growing fleets are used again

The guard for cold tasks counted a proxy's whole traffic for each of its cold lines, though they share it. Now it counts each line's part among the proxy's cold lines.

--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -577,21 +577,30 @@
 
         /**
          * A cold task falls over when too much is tried there, what it refuses too. The weights keep its lines thin,
-         * but a proxy that shuns its other lines sends all it has to this one, whatever its weight. So in a jam
-         * only proxies name it that are small enough all together; the others drop it at once.
+         * but a proxy that shuns its warm lines sends all it has to its cold ones, whatever their weight. So in a
+         * jam a cold task is named only where that stays small for all proxies together, small proxies first.
          */
         private void capCold(List<Proxy> known) {
             if (!crowded) return;
             List<Proxy> smallFirst = new ArrayList<>(known);
             smallFirst.sort(Comparator.comparingDouble(p -> p.ops));
-            for (int i = 0; i < tasks; i++) {
-                if (!live(i) || warmth(i) >= 1) continue;
-                double room = COLD_CROWDED * set.fallMultiple() * capacity[i] * share();
-                for (Proxy p : smallFirst) {
-                    if (p.target[i] <= 0 || (room -= p.ops * level) >= 0) continue;
-                    p.target[i] = 0;
-                    if (p.line(i) > 0) urgent.add(p);
-                }
+            double[] room = new double[tasks];
+            for (int i = 0; i < tasks; i++) room[i] = COLD_CROWDED * set.fallMultiple() * capacity[i] * share();
+            for (Proxy p : smallFirst) {
+                int[] cold = IntStream.range(0, tasks).filter(i -> p.target[i] > 0 && warmth(i) < 1).toArray();
+                double all;
+                boolean over;
+                do {
+                    over = false;
+                    all = p.ops * level / Math.max(1e-9, Arrays.stream(cold).mapToDouble(i -> p.target[i]).sum());
+                    for (int i : cold) {
+                        if (all * p.target[i] <= room[i]) continue;
+                        over = true;
+                        p.target[i] = 0;
+                        if (p.line(i) > 0) urgent.add(p);
+                    }
+                } while (over);
+                for (int i : cold) room[i] -= all * p.target[i];
             }
         }
 
--- a/src/test/java/stonespring/decision/AssignerTest.java
+++ b/src/test/java/stonespring/decision/AssignerTest.java
@@ -213,6 +213,18 @@
         assertTrue(f.lines(f.proxies.get(0)).keySet().stream().anyMatch(t -> t.startsWith("cold")), "let in when warm");
     }
 
+    /** A few tasks can't carry what a large proxy brings, whatever the weights of their lines. */
+    @Test
+    void aLargeProxysTableGrows() {
+        Fleet f = fleet(12, 0);
+        for (int p = 0; p < 5; p++) {
+            f.join(p, p % 2, p == 0 ? 100 : 5, true);
+        }
+        turns(f, 20, 0.05, Map.of());
+        assertTrue(f.lines(f.proxies.get(0)).size() >= 10, "lines: " + f.lines(f.proxies.get(0)).size());
+        assertTrue(f.lines(f.proxies.get(1)).size() <= 6, "a small one's table stays small");
+    }
+
     @Test
     void failingTaskLosesItsOpsButKeepsALineThatShowsItsReturn() {
         Fleet f = fleet(8, 8);
