--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -30,7 +30,7 @@
     private static final double HOME_ENTRY = 2; // times; four times as many home tables as others
     private static final double AWAY_START = 0.3; // times; a new table's lines abroad until loads are heard
     private static final int LINES_LEAST = 4; // lines; with fewer a bad task is a third of a proxy's ops
-    private static final double TABLE_FILL = 0.3; // share of its tasks' capacity that one proxy's ops may take
+    private static final double TABLE_FILL = 0.3; // share of its tasks' capacity that one proxy may take
     private static final double IDLE_FILL = 0.6; // share of mean fill; an ordinary spread stays above it
     private static final long ENTER_AGAIN = 50_000; // 0.1 ms; an entry shows in the sums by then
     // The weights of lines.
@@ -576,15 +576,16 @@
         }
 
         /**
-         * A cold task falls over when too much is tried there, what it refuses too. The weights keep its lines thin,
-         * but a proxy that shuns its warm lines sends all it has to its cold ones, whatever their weight. So in a
-         * jam a cold task is named only where that stays small for all proxies together, small proxies first.
+         * A cold task falls over when too much is tried there, what it refuses too. Weights keep its lines thin,
+         * but a proxy that shuns its warm lines sends all to its cold ones, whatever their weight. So in a jam a
+         * cold task is named only where that stays small for all proxies together, small proxies first.
          */
         private void capCold(List<Proxy> known) {
             if (!crowded) return;
             List<Proxy> smallFirst = new ArrayList<>(known);
             smallFirst.sort(Comparator.comparingDouble(p -> p.ops));
             double[] room = new double[tasks];
+            double letIn = set.levelKind() == Settings.LevelKind.SHARE ? level : 1;
             for (int i = 0; i < tasks; i++) room[i] = COLD_CROWDED * set.fallMultiple() * capacity[i] * share();
             for (Proxy p : smallFirst) {
                 int[] cold = IntStream.range(0, tasks).filter(i -> p.target[i] > 0 && warmth(i) < 1).toArray();
@@ -592,7 +593,8 @@
                 boolean over;
                 do {
                     over = false;
-                    all = p.ops * level / Math.max(1e-9, Arrays.stream(cold).mapToDouble(i -> p.target[i]).sum());
+                    double sum = Arrays.stream(cold).mapToDouble(i -> p.target[i]).sum();
+                    all = p.ops * letIn / Math.max(1e-9, sum);
                     for (int i : cold) {
                         if (all * p.target[i] <= room[i]) continue;
                         over = true;
@@ -605,8 +607,8 @@
         }
 
         /**
-         * Levels: what the tasks can't carry is rejected at once. A jam's work is in vain and tells no capacity,
-         * so levels are cut until it clears, whatever its cause, and follow the busy share up again.
+         * Levels: what the tasks can't carry is rejected at once. A jam's work tells no capacity, being in vain;
+         * levels are cut until it clears, whatever its cause, and follow the busy share up again.
          */
         private void levels() {
             if (demand <= 0) return;
