--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -576,9 +576,9 @@
         }
 
         /**
-         * A cold task falls over when too much is tried there, what it refuses too. Weights keep its lines thin,
-         * but a proxy that shuns its warm lines sends all to its cold ones, whatever their weight. So in a jam a
-         * cold task is named only where that stays small for all proxies together, small proxies first.
+         * A cold task falls over when too much is tried there, what it refuses too. Weights keep its lines
+         * thin, but a proxy that shuns its warm lines sends all to its cold ones, whatever their weight. In a
+         * jam it is named only where that stays small for all proxies together, small proxies first.
          */
         private void capCold(List<Proxy> known) {
             if (!crowded) return;
@@ -586,9 +586,11 @@
             smallFirst.sort(Comparator.comparingDouble(p -> p.ops));
             double[] room = new double[tasks];
             double letIn = set.levelKind() == Settings.LevelKind.SHARE ? level : 1;
-            for (int i = 0; i < tasks; i++) room[i] = COLD_CROWDED * set.fallMultiple() * capacity[i] * share();
+            double most = COLD_CROWDED * set.fallMultiple() * share();
+            for (int i = 0; i < tasks; i++) room[i] = most * capacity[i];
             for (Proxy p : smallFirst) {
-                int[] cold = IntStream.range(0, tasks).filter(i -> p.target[i] > 0 && warmth(i) < 1).toArray();
+                int[] cold = IntStream.range(0, tasks).filter(i -> p.target[i] > 0 && warmth(i) < 1)
+                        .toArray();
                 double all;
                 boolean over;
                 do {
@@ -607,16 +609,20 @@
         }
 
         /**
-         * Levels: what the tasks can't carry is rejected at once. A jam's work tells no capacity, being in vain;
+         * Levels: what the tasks can't carry is rejected at once. A jam's work is in vain, tells no capacity:
          * levels are cut until it clears, whatever its cause, and follow the busy share up again.
          */
         private void levels() {
             if (demand <= 0) return;
+            // Who fails more than the rest counts less for what can be carried: the silent carry nothing.
+            double all = Math.max(1e-9, sum(i -> capacity[i]));
+            double meanGood = sum(i -> capacity[i] * good(i)) / all;
+            double able = sum(i -> capacity[i] * Math.min(1, good(i) / Math.max(1e-9, meanGood)));
             double reported = sum(i -> busy[i] >= 0 ? capacity[i] : 0);
             double fill = reported > 0 ? sum(i -> busy[i] >= 0 ? capacity[i] * busy[i] : 0) / reported : 0;
             double step = (double) set.sumsEvery() / LEVEL_LAG;
             double want = Math.min(1, level * Math.pow(ADMIT_FILL / Math.max(fill, BUSY_LEAST), step));
-            double room = ADMIT_FILL * sum(i -> capacity[i]) * share() / demand;
+            double room = ADMIT_FILL * able * share() / demand;
             crowded = turnBad > (crowded || level < 1 ? CALM : JAM) * turnTries;
             if (fill > ADMIT_FILL || level < 1 && fill > USUAL_FILL) want = Math.min(want, room);
             if (fill > ADMIT_FILL && turnBad > JAM * turnTries && now - lastCut > CUT_WAIT) {
@@ -631,6 +637,8 @@
             }
         }
 
+        private double good(int i) { return 1 - over(bad, i) / (over(tries, i) + DOUBT); }
+
         private double badShare(int z, int i) { return bad[z][i] / (tries[z][i] + DOUBT); }
 
         /** The table that a proxy keeps: its lines, with what left swapped for live tasks. */
