--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -53,6 +53,8 @@
     private static final double CUT_MOST = 0.4; // times what the capacity read allows; symptoms cut no deeper
     private static final long CUT_WAIT = 20_000; // 0.1 ms; a cut shows in the sums by then
     private static final long LEVEL_LAG = 30_000; // 0.1 ms; a change of level shows in the sums by then
+    private static final double TYPE_FLOOR = 3; // times the worst op type's weight; at a third all fall alike
+    private static final double ALL_OPS = 1e6; // ops a second; where levels are rates, all that may come
     private static final double LEVEL_LEAST = 0.05; // share; some ops must show whether tasks work
     private static final double LEVEL_STEP = 0.05; // share; less is not worth a message to every proxy
     private static final double COLD_CROWDED = 0.5; // share of the fall limit, for all ops of a full table
@@ -133,19 +135,14 @@
 
     @Override public void take(long at, Event event) {
         now = at;
-        if (event instanceof Event.TaskSums e) {
-            Task t = taskById.get(e.task());
-            if (t != null) post(t, new Told(e));
-        } else if (event instanceof Event.ProxyJoined e) {
-            post(proxies.computeIfAbsent(e.proxy().number(), n -> new Proxy(e.proxy())), new Told(e));
-        } else if (event instanceof Event.OfProxy e) {
-            Proxy proxy = proxies.get(e.proxy().number());
-            if (proxy != null) post(proxy, new Told(event));
-        } else if (event instanceof Event.PeerSaid) {
-            post(planner, new Told(event));
-        } else if (event instanceof Event.ListTold || event instanceof Event.TimerDue) {
-            post(roster, new Told(event));
+        Part part = roster;
+        if (event instanceof Event.TaskSums e) part = taskById.get(e.task());
+        if (event instanceof Event.ProxyJoined e) {
+            proxies.computeIfAbsent(e.proxy().number(), n -> new Proxy(e.proxy()));
         }
+        if (event instanceof Event.OfProxy e) part = proxies.get(e.proxy().number());
+        if (event instanceof Event.PeerSaid) part = planner;
+        if (part != null) post(part, new Told(event));
         emptyInboxes();
     }
 
@@ -237,33 +234,28 @@
         }
 
         @Override void on(Note note) {
-            if (note instanceof Entry e) {
-                entry(e.listing());
-            } else if (note instanceof Missing && state[index] != Listing.State.GONE) {
-                state[index] = Listing.State.GONE;
-                post(planner, new Leaving(index));
-            } else if (note instanceof Told t && t.event() instanceof Event.TaskSums sums) {
-                sums(sums);
-            }
+            if (note instanceof Entry e) entry(e.listing());
+            if (note instanceof Missing && state[index] != Listing.State.GONE) leave(Listing.State.GONE);
+            if (note instanceof Told t && t.event() instanceof Event.TaskSums sums) sums(sums);
+        }
+
+        private void leave(Listing.State how) {
+            state[index] = how;
+            post(planner, new Leaving(index));
         }
 
         private void entry(Listing l) {
             zone[index] = l.zone().index();
             listed[index] = l.weight() > 0 ? l.weight() : 1;
-            boolean was = live(index);
-            boolean again = l.startedAt() > started[index];
-            if (l.state() == Listing.State.READY) {
-                state[index] = Listing.State.READY;
-                if (again) {
-                    // A task that started again is cold though tables still name it.
-                    forget();
-                    started[index] = l.startedAt();
-                }
-                if (again || !was) post(planner, new Entering(index));
-            } else {
-                state[index] = l.state();
-                post(planner, new Leaving(index));
+            if (l.state() != Listing.State.READY) {
+                leave(l.state());
+                return;
             }
+            boolean again = l.startedAt() > started[index];
+            if (again || !live(index)) post(planner, new Entering(index));
+            state[index] = Listing.State.READY;
+            if (again) forget(); // a task that started again is cold though tables still name it
+            started[index] = Math.max(started[index], l.startedAt());
         }
 
         private void sums(Event.TaskSums e) {
@@ -512,7 +504,8 @@
             }
             weigh(known);
             capCold(known);
-            for (Proxy p : known) if (urgent.contains(p) && channel.roomForUrgent(p)) send(p, 1);
+            urgent.removeIf(p -> !channel.roomForUrgent(p));
+            for (Proxy p : known) if (urgent.contains(p)) send(p, 1, new double[tasks]);
             if (turn) {
                 tellPeers();
                 rounds(known);
@@ -633,8 +626,32 @@
             want = Math.max(LEVEL_LEAST, want);
             if (Math.abs(want - level) > LEVEL_STEP * level || want == 1 && level < 1) {
                 level = want;
-                channel.admit(level);
+                channel.admit(level, levelsByType());
+            }
+        }
+
+        /**
+         * What is let in, by op type: most benefit for its work first. Work is told nowhere and goes by the
+         * target latency. None falls under a part of the level, larger the more the worst-served type weighs.
+         */
+        private double[] levelsByType() {
+            List<OpType> type = set.opTypes();
+            double[] ops = new double[type.size()];
+            for (Proxy p : proxies.values()) {
+                for (int k = 0; p.joined && k < ops.length; k++) if (p.opsByType[k] > 0) ops[k] += p.opsByType[k];
+            }
+            double least = level * Math.min(1, TYPE_FLOOR * set.worstTypeWeight());
+            double rest = (level - least) * Arrays.stream(ops).sum();
+            double[] levels = new double[ops.length];
+            Arrays.fill(levels, level);
+            List<Integer> best = new ArrayList<>(IntStream.range(0, ops.length).boxed().toList());
+            best.sort(Comparator.comparingDouble(k -> -type.get(k).benefit() / type.get(k).targetLatency()));
+            for (int k : best) {
+                double more = Math.max(0, Math.min(rest, (1 - least) * ops[k]));
+                if (level < 1 && ops[k] > 0) levels[k] = least + more / ops[k];
+                rest -= more;
             }
+            return levels;
         }
 
         private double good(int i) { return 1 - over(bad, i) / (over(tries, i) + DOUBT); }
@@ -732,15 +749,11 @@
         /** A task that chance left out of most tables enters as a returned one does. */
         private void enterIdle() {
             double mean = sum(this::total) / sum(i -> capacity[i]);
-            int idlest = -1;
-            for (int i = 0; i < tasks; i++) {
-                if (live(i) && warmth(i) >= 1 && now - entered[i] > ENTER_AGAIN
-                        && over(bad, i) < CALM * (over(tries, i) + DOUBT)
-                        && fill(i) < IDLE_FILL * mean && (idlest < 0 || fill(i) < fill(idlest))) {
-                    idlest = i;
-                }
-            }
-            if (idlest >= 0 && !entrants.contains(idlest)) entrants.add(idlest);
+            IntStream.range(0, tasks)
+                    .filter(i -> live(i) && warmth(i) >= 1 && now - entered[i] > ENTER_AGAIN
+                            && over(bad, i) < CALM * (over(tries, i) + DOUBT) && fill(i) < IDLE_FILL * mean)
+                    .boxed().min(Comparator.comparingDouble(this::fill)).filter(i -> !entrants.contains(i))
+                    .ifPresent(entrants::add);
         }
 
         private double fill(int i) { return total(i) / Math.max(1e-9, capacity[i]); }
@@ -801,8 +814,7 @@
             boolean admitted = false;
             for (Proxy m : moves) {
                 if (channel.roomForRoutine(m) && yieldRatio(m, room) <= 0) {
-                    take(m, room, 1);
-                    send(m, 1);
+                    send(m, 1, room);
                     admitted = true;
                 }
             }
@@ -820,8 +832,7 @@
                 }
             }
             if (least != null) {
-                take(least, room, 1 - leastRatio);
-                send(least, 1 - leastRatio);
+                send(least, 1 - leastRatio, room);
             }
         }
 
@@ -849,7 +860,8 @@
             double mean = sum(this::total) / sum(i -> capacity[i]);
             for (int i = 0; i < tasks; i++) {
                 if (live(i)) {
-                    double load = heard[i] ? total(i) : standing(i);
+                    double load = total(i);
+                    for (Proxy p : proxies.values()) load += p.bound && !heard[i] ? p.ops * p.line(i) : 0;
                     room[i] = (capacity[i] * mean / FILL - load) * share();
                 }
             }
@@ -860,14 +872,6 @@
             return room;
         }
 
-        private double standing(int i) {
-            return proxies.values().stream().mapToDouble(p -> p.bound ? p.ops * p.line(i) : 0).sum();
-        }
-
-        private void take(Proxy m, double[] room, double share) {
-            for (int i = 0; i < tasks; i++) room[i] -= Math.max(0, m.part(i) * share);
-        }
-
         /** The part of a move that its fullest task has no room for; above 0 it doesn't fit as a whole. */
         private double yieldRatio(Proxy m, double[] room) {
             double least = 1;
@@ -892,17 +896,16 @@
         }
 
         private boolean waitsFor(Proxy w, Proxy m, double[] room) {
-            for (int i = 0; i < tasks; i++) {
-                if (m.part(i) < -1e-6 && w.part(i) > 1e-6 && w.part(i) > room[i]) return true;
-            }
-            return false;
+            return IntStream.range(0, tasks)
+                    .anyMatch(i -> m.part(i) < -1e-6 && w.part(i) > 1e-6 && w.part(i) > room[i]);
         }
 
         /** Orders a move, or the given share of it, and books the load that it shifts. */
-        private void send(Proxy p, double share) {
+        private void send(Proxy p, double share, double[] room) {
             double[] next = new double[tasks];
             Freed f = new Freed();
             for (int i = 0; i < tasks; i++) {
+                room[i] -= Math.max(0, p.part(i) * share);
                 double want = live(i) ? p.line(i) + share * (p.target[i] - p.line(i)) : 0;
                 want = Math.round(want * 1000) / 1000.0;
                 next[i] = p.line(i);
@@ -928,9 +931,8 @@
         }
 
         private void normalise(double[] t) {
-            double sum = 0;
-            for (double w : t) sum += w;
-            for (int i = 0; i < t.length && sum > 0; i++) t[i] /= sum;
+            double sum = Arrays.stream(t).sum();
+            if (sum > 0) Arrays.setAll(t, i -> t[i] / sum);
         }
     }
 
@@ -964,15 +966,12 @@
 
         void bind(Proxy p) {
             binds.add(new Order.Bind(p.table(), p.id, 0));
-            int count = 3;
-            for (double w : p.lines) count += w > 0 ? 1 : 0;
+            int count = 3 + (int) Arrays.stream(p.lines).filter(w -> w > 0).count();
             touched.merge(p.id.number(), count, Integer::sum);
         }
 
         private int recent(Proxy p) {
-            while (!p.messages.isEmpty() && now - p.messages.peek() > set.messagesOver()) {
-                p.messages.poll();
-            }
+            p.messages.removeIf(at -> now - at > set.messagesOver());
             return p.messages.size();
         }
 
@@ -990,17 +989,21 @@
         }
 
         /** Ops are tried again on proof that no try ran, and never when there is too much. */
-        void admit(double level) {
-            double value = set.levelKind() == Settings.LevelKind.RATE ? 1e6 : level;
-            first.add(new Order.Admit(Order.EVERY_TABLE, 0,
-                    level < 1 ? Order.Retry.NEVER : Order.Retry.ON_PROOF, value));
-            for (Proxy p : proxies.values()) if (p.joined) touched.merge(p.id.number(), 1, Integer::sum);
+        void admit(double level, double[] levels) {
+            Order.Retry again = level < 1 ? Order.Retry.NEVER : Order.Retry.ON_PROOF;
+            for (int k = 0; k < levels.length; k++) {
+                double value = set.levelKind() == Settings.LevelKind.RATE ? ALL_OPS : levels[k];
+                first.add(new Order.Admit(Order.EVERY_TABLE, 1 << k, again, value));
+            }
+            for (Proxy p : proxies.values()) {
+                if (p.joined) touched.merge(p.id.number(), levels.length, Integer::sum);
+            }
         }
 
         List<Order> flush() {
             if (!retriesSet) {
                 retriesSet = true;
-                admit(1);
+                admit(1, set.opTypes().stream().mapToDouble(t -> 1).toArray());
             }
             List<Order> orders = new ArrayList<>();
             for (List<Order> some : List.of(others, first, lines, binds)) {
--- a/src/main/java/stonespring/model/Event.java
+++ b/src/main/java/stonespring/model/Event.java
@@ -18,7 +18,7 @@
     record PeerSaid(PeerId from, byte[] bytes) implements Event {
     }
 
-    record ProxyJoined(ProxyId proxy, ZoneId zone, double opsPerSecond, boolean fresh) implements Event {
+    record ProxyJoined(ProxyId proxy, ZoneId zone, double opsPerSecond, boolean fresh) implements OfProxy {
     }
 
     record ProxyLeft(ProxyId proxy) implements OfProxy {
--- a/src/main/java/stonespring/simhost/SettingsReader.java
+++ b/src/main/java/stonespring/simhost/SettingsReader.java
@@ -39,7 +39,8 @@
                 (int) number(fleet, "bootstrap"), (int) number(fleet, "proxyCount"), time(fleet, "reportEveryS"),
                 number(fleet, "partitionsN", 0) > 0, number(child(facts, "prices"), "crossZone", 0),
                 facts.path("ceilings").path("peers").asBoolean(false), time(rules, "coldS"),
-                number(rules, "coldShare"), number(rules, "fallMultiple"));
+                number(rules, "coldShare"), number(rules, "fallMultiple"),
+                number(child(facts, "scoringMix"), "worstClass", 0));
     }
 
     ZoneId zone(Message message, int position, String field) {
--- a/src/test/java/stonespring/decision/AssignerTest.java
+++ b/src/test/java/stonespring/decision/AssignerTest.java
@@ -264,10 +264,22 @@
         turns(f, 60, 0.2, Map.of());
         assertTrue(f.level < 0.95, "level " + f.level);
         assertEquals(Order.Retry.NEVER, f.retry.get(0), "nothing repeats while there is too much");
+        assertTrue(f.levels[0] >= f.levels[1] && f.levels[1] > f.levels[2], "least benefit for its work goes first");
+        assertTrue(f.levels[2] > 0.2, "but not all of it");
         turns(f, 30, 0.03, Map.of());
         assertEquals(1, f.level);
     }
 
+    /** A type that nobody sent once made a level that is no number. */
+    @Test
+    void anOpTypeThatNobodySendsHasALevel() {
+        Fleet f = fleet(8, 8);
+        f.typesSent = 2;
+        turns(f, 5, 0.05, Map.of());
+        turns(f, 60, 0.2, Map.of());
+        assertTrue(f.levels[0] > 0 && f.levels[2] > 0 && f.levels[1] < 1);
+    }
+
     /** Chance once left two tasks in no table while the rest ran full. */
     @Test
     void idleTasksComeIntoTables() {
--- a/src/test/java/stonespring/decision/Fleet.java
+++ b/src/test/java/stonespring/decision/Fleet.java
@@ -53,7 +53,9 @@
     final List<Event.Answered> answers = new ArrayList<>();
     final List<Order> last = new ArrayList<>();
     final TreeMap<Integer, Order.Retry> retry = new TreeMap<>();
+    int typesSent = 3;
     double level = 1;
+    final double[] levels = {1, 1, 1};
     long now = 100 * SECOND;
     long timerAt = -1;
     double queued;
@@ -79,7 +81,7 @@
                 new OpType(OpType.Repeat.DEDUPLICATED, SECOND, 3 * SECOND, 3),
                 new OpType(OpType.Repeat.ONCE_ONLY, SECOND, 3 * SECOND, 2)),
                 asks, levels, backlog, 10, messagesMost, 10 * SECOND, pace, 5 * SECOND, standing, 8, SECOND, false, 0.1,
-                assigners > 1, 10 * SECOND, 0.2, 3);
+                assigners > 1, 10 * SECOND, 0.2, 3, 0.1);
     }
 
     void start(long seed) {
@@ -89,6 +91,7 @@
         retry.clear();
         timerAt = -1;
         level = 1;
+        java.util.Arrays.fill(levels, 1);
         due.add(new Event.ListTold(Event.ListKind.LAST_SEEN, List.copyOf(list.values())));
     }
 
@@ -133,7 +136,7 @@
                 continue;
             }
             lines(p).forEach((task, w) -> ops.merge(p.zone + task, p.ops * w, Double::sum));
-            for (int k = 0; k < 3; k++) {
+            for (int k = 0; k < typesSent; k++) {
                 due.add(new Event.ProxyOps(new ProxyId(p.number), new OpTypeId(k), Math.round(p.ops * 10 / 3), 0,
                         10 * SECOND));
             }
@@ -216,6 +219,8 @@
                 }
             } else if (order instanceof Order.Admit o) {
                 level = o.level();
+                assertTrue(level >= 0, "level " + level);
+                levels[Integer.numberOfTrailingZeros(o.opTypeBits())] = o.level();
                 for (int k = 0; k < settings.opTypes().size(); k++) {
                     if (o.opTypeBits() == 0 || (o.opTypeBits() >> k & 1) == 1) {
                         retry.put(k, o.retry());
