--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -61,6 +61,7 @@
     // Start, list, peers, channel.
     private static final int SETTLE_TURNS = 3; // turns; some rounds of sums before old tables are touched
     private static final long FOLLOW_RETRY = 5_000; // 0.1 ms; first wait to ask again, doubled each time
+    private static final long FOLLOW_LOST = 90_000; // 0.1 ms; an answer, good or bad, comes well before
     private static final long FOLLOW_RETRY_MOST = 40_000; // 0.1 ms; the list is late by seconds anyway
     private static final long PEER_STALE = 60_000; // 0.1 ms; a few messages of a peer may be lost
     private static final long PEER_EVERY = 10_000; // 0.1 ms; cheap, and loads don't change faster
@@ -288,8 +289,7 @@
             if (event instanceof Event.TimerDue) ticking = false;
             if (!following && set.listOnRequest() && now >= nextFollow) {
                 channel.other(new Order.FollowList(true));
-                nextFollow = now + followWait + (long) (followWait * chance());
-                followWait = Math.min(FOLLOW_RETRY_MOST, 2 * followWait);
+                nextFollow = now + FOLLOW_LOST;
             }
             if (!ticking) {
                 ticking = true;
@@ -300,7 +300,8 @@
         private void list(Event.ListTold e) {
             if (e.kind() == Event.ListKind.FAILED) {
                 following = false;
-                nextFollow = Math.max(nextFollow, now + followWait);
+                nextFollow = now + followWait + (long) (followWait * chance());
+                followWait = Math.min(FOLLOW_RETRY_MOST, 2 * followWait);
                 return;
             }
             if (e.kind() != Event.ListKind.LAST_SEEN) {
@@ -340,6 +341,8 @@
             Arrays.fill(opsByType, Double.NaN);
         }
 
+        double typeOps(int k) { return Double.isNaN(opsByType[k]) ? 0 : opsByType[k]; }
+
         TableId table() { return new TableId(id.number()); }
 
         /** Ops a second that the move to the target brings a task; below 0 it takes them away. */
@@ -384,7 +387,7 @@
                 double seen = e.ops() * (double) Tenths.SECOND / Math.max(1, e.span());
                 double keep = Math.pow(0.5, (double) e.span() / HALF_LIFE);
                 opsByType[k] = smooth(opsByType[k], seen, keep);
-                double sum = Arrays.stream(opsByType).filter(v -> v >= 0).sum();
+                double sum = IntStream.range(0, opsByType.length).mapToDouble(this::typeOps).sum();
                 ops = Arrays.stream(opsByType).anyMatch(Double::isNaN) ? Math.max(ops, sum) : sum;
             } else if (event instanceof Event.Answered e) {
                 while (!freed.isEmpty()) {
@@ -638,7 +641,7 @@
             List<OpType> type = set.opTypes();
             double[] ops = new double[type.size()];
             for (Proxy p : proxies.values()) {
-                for (int k = 0; p.joined && k < ops.length; k++) if (p.opsByType[k] > 0) ops[k] += p.opsByType[k];
+                for (int k = 0; p.joined && k < ops.length; k++) ops[k] += p.typeOps(k);
             }
             double least = level * Math.min(1, TYPE_FLOOR * set.worstTypeWeight());
             double rest = (level - least) * Arrays.stream(ops).sum();
