--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -51,6 +51,7 @@
     private static final double JAM = 0.2; // bad share of tries of busy tasks; twice what calm allows
     private static final double LEVEL_CUT = 0.6; // times; a jam clears within a few cuts
     private static final double CUT_MOST = 0.4; // times what the capacity read allows; symptoms cut no deeper
+    private static final double RISE_TO = 0.7; // times that too; in calm so much comes in again at once
     private static final long CUT_WAIT = 20_000; // 0.1 ms; a cut shows in the sums by then
     private static final long LEVEL_LAG = 30_000; // 0.1 ms; a change of level shows in the sums by then
     private static final double TYPE_FLOOR = 3; // times the worst op type's weight; at a third all fall alike
@@ -314,9 +315,8 @@
                 seen[t.index] = true;
                 post(t, new Entry(l));
             }
-            if (e.kind() == Event.ListKind.WHOLE) {
-                for (int i = 0; i < tasks; i++) if (!seen[i]) post(task[i], new Missing());
-            }
+            if (e.kind() != Event.ListKind.WHOLE) return;
+            for (int i = 0; i < tasks; i++) if (!seen[i]) post(task[i], new Missing());
         }
     }
 
@@ -342,7 +342,6 @@
         }
 
         double typeOps(int k) { return Double.isNaN(opsByType[k]) ? 0 : opsByType[k]; }
-
         TableId table() { return new TableId(id.number()); }
 
         /** Ops a second that the move to the target brings a task; below 0 it takes them away. */
@@ -611,8 +610,7 @@
         private void levels() {
             if (demand <= 0) return;
             // Who fails more than the rest counts less for what can be carried: the silent carry nothing.
-            double all = Math.max(1e-9, sum(i -> capacity[i]));
-            double meanGood = sum(i -> capacity[i] * good(i)) / all;
+            double meanGood = sum(i -> capacity[i] * good(i)) / Math.max(1e-9, sum(i -> capacity[i]));
             double able = sum(i -> capacity[i] * Math.min(1, good(i) / Math.max(1e-9, meanGood)));
             double reported = sum(i -> busy[i] >= 0 ? capacity[i] : 0);
             double fill = reported > 0 ? sum(i -> busy[i] >= 0 ? capacity[i] * busy[i] : 0) / reported : 0;
@@ -625,6 +623,8 @@
                 lastCut = now;
                 want = Math.min(want, Math.max(level * LEVEL_CUT, room * CUT_MOST));
             }
+            boolean calm = fill < ADMIT_FILL && turnBad < CALM * turnTries;
+            if (calm) want = Math.max(want, Math.min(1, room * RISE_TO));
             turnBad = turnTries = 0;
             want = Math.max(LEVEL_LEAST, want);
             if (Math.abs(want - level) > LEVEL_STEP * level || want == 1 && level < 1) {
@@ -665,15 +665,9 @@
         private void lineUp(Proxy p) {
             double[] target = new double[tasks];
             p.target = target;
-            int count = 0;
-            double sum = 0;
-            for (int i = 0; i < tasks; i++) {
-                if (live(i) && p.line(i) > 0) {
-                    target[i] = p.line(i);
-                    sum += target[i];
-                    count++;
-                }
-            }
+            Arrays.setAll(target, i -> live(i) ? p.line(i) : 0);
+            double sum = Arrays.stream(target).sum();
+            int count = (int) Arrays.stream(target).filter(w -> w > 0).count();
             p.swap.entrySet().removeIf(e -> !live(e.getValue()) || target[e.getKey()] <= 0);
             for (Map.Entry<Integer, Integer> e : p.swap.entrySet()) {
                 // A cold task takes the line over as it warms: until then both stand.
@@ -945,9 +939,8 @@
         private final List<Order> first = new ArrayList<>(), lines = new ArrayList<>();
         private final List<Order> binds = new ArrayList<>(), others = new ArrayList<>();
         private final TreeMap<Integer, Integer> touched = new TreeMap<>();
-        private int mark = 1;
+        private int mark;
         private long emptyAt;
-        private boolean retriesSet;
 
         void other(Order order) { others.add(order); }
 
@@ -1004,8 +997,8 @@
         }
 
         List<Order> flush() {
-            if (!retriesSet) {
-                retriesSet = true;
+            if (mark == 0) {
+                mark = 1;
                 admit(1, set.opTypes().stream().mapToDouble(t -> 1).toArray());
             }
             List<Order> orders = new ArrayList<>();
@@ -1016,13 +1009,12 @@
             if (!touched.isEmpty()) {
                 orders.add(new Order.Mark(new MarkId(mark), false));
                 mark = mark % 65_000 + 1;
-                long queued = 0;
-                for (Map.Entry<Integer, Integer> t : touched.entrySet()) {
-                    queued += t.getValue() + 1 + set.messageHead();
-                    proxies.get(t.getKey()).messages.add(now);
-                }
-                double slowRate = set.linesPerSecond() / CHANNEL_SLOW;
-                emptyAt = Math.max(emptyAt, now) + (long) (queued * Tenths.SECOND / slowRate);
+                double lineTime = Tenths.SECOND * CHANNEL_SLOW / set.linesPerSecond();
+                emptyAt = Math.max(emptyAt, now);
+                touched.forEach((number, count) -> {
+                    emptyAt += (long) ((count + 1 + set.messageHead()) * lineTime);
+                    proxies.get(number).messages.add(now);
+                });
             }
             touched.clear();
             return orders;
