--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -620,6 +620,7 @@
             crowded = turnBad > (crowded || level < 1 ? CALM : JAM) * turnTries;
             if (fill > ADMIT_FILL || level < 1 && fill > USUAL_FILL) want = Math.min(want, room);
             if (fill > ADMIT_FILL && turnBad > JAM * turnTries && now - lastCut > CUT_WAIT) {
+                if (level == 1) channel.other(new Order.LogLine("Busy tasks fail their ops: levels are cut."));
                 lastCut = now;
                 want = Math.min(want, Math.max(level * LEVEL_CUT, room * CUT_MOST));
             }
@@ -628,6 +629,7 @@
             turnBad = turnTries = 0;
             want = Math.max(LEVEL_LEAST, want);
             if (Math.abs(want - level) > LEVEL_STEP * level || want == 1 && level < 1) {
+                if (want == 1) channel.other(new Order.LogLine("Tasks have time: all ops are let in again."));
                 level = want;
                 channel.admit(level, levelsByType());
             }
--- a/src/main/java/stonespring/simhost/Instance.java
+++ b/src/main/java/stonespring/simhost/Instance.java
@@ -2,8 +2,10 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.Set;
 import stonespring.decision.Assigner;
 import stonespring.model.DecisionModule;
 import stonespring.model.Event;
@@ -22,6 +24,8 @@
     private SettingsReader reader;
     private DecisionModule module;
     private String failure;
+    private final Set<TaskId> tasksTold = new HashSet<>();
+    private final Set<ProxyId> proxiesTold = new HashSet<>();
 
     /** Takes one message; {@code entryLists} holds the numbered task lists as of this message. */
     void take(long now, JsonNode values, JsonNode[] entryLists) {
@@ -32,12 +36,15 @@
                 long seed = message.at(0, "salt").asLong();
                 reader = new SettingsReader(message.at(1, "facts"));
                 failure = null;
+                tasksTold.clear();
+                proxiesTold.clear();
                 guarded(() -> module = new Assigner(reader.settings, seed, now));
             }
             case "down" -> module = null;
             default -> {
                 Event event = event(name, message, entryLists);
                 if (event != null && module != null && failure == null) {
+                    remember(event);
                     guarded(() -> module.take(now, event));
                 }
             }
@@ -49,7 +56,32 @@
         if (module != null && failure == null) {
             guarded(() -> orders.addAll(module.finish(now)));
         }
-        return failure == null ? orders : List.of();
+        if (failure != null) {
+            return List.of();
+        }
+        orders.forEach(this::checkKnown);
+        return orders;
+    }
+
+    /** An order for an id that this instance was never told would cost the whole run: better to stop plainly. */
+    private void checkKnown(Order order) {
+        if (order instanceof Order.SetLine o) {
+            known("setLine", o.task());
+        } else if (order instanceof Order.Withdraw o) {
+            known("pull", o.task());
+        } else if (order instanceof Order.Probe o) {
+            known("askLoad", o.task());
+        } else if (order instanceof Order.Bind o && !proxiesTold.contains(o.proxy())) {
+            throw new WireException("order 'pin': field 'clientLb' names a proxy that never joined: "
+                    + o.proxy().number());
+        }
+    }
+
+    private void known(String order, TaskId task) {
+        if (!tasksTold.contains(task)) {
+            throw new WireException("order '" + order + "': field 'task' names a task that was never listed: "
+                    + task.name());
+        }
     }
 
     /** The text of an exception inside the module, or null. */
@@ -57,6 +89,16 @@
         return failure;
     }
 
+    private void remember(Event event) {
+        if (event instanceof Event.ListTold e) {
+            e.entries().forEach(entry -> tasksTold.add(entry.task()));
+        } else if (event instanceof Event.SliceLine e) {
+            tasksTold.add(e.task());
+        } else if (event instanceof Event.ProxyJoined e) {
+            proxiesTold.add(e.proxy());
+        }
+    }
+
     static Message message(JsonNode values) {
         if (!values.isArray() || values.isEmpty() || !values.get(0).isTextual()) {
             throw new WireException("field 'msgs' holds a message that does not start with a name: " + values);
--- a/src/main/java/stonespring/simhost/SettingsReader.java
+++ b/src/main/java/stonespring/simhost/SettingsReader.java
@@ -40,7 +40,7 @@
                 number(fleet, "partitionsN", 0) > 0, number(child(facts, "prices"), "crossZone", 0),
                 facts.path("ceilings").path("peers").asBoolean(false), time(rules, "coldS"),
                 number(rules, "coldShare"), number(rules, "fallMultiple"),
-                number(child(facts, "scoringMix"), "worstClass", 0));
+                number(facts.path("scoringMix"), "worstClass", 0));
     }
 
     ZoneId zone(Message message, int position, String field) {
