--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -331,6 +331,7 @@
         private final double[] opsByType = new double[set.opTypes().size()];
         private double[] lines = new double[0], target = new double[0];
         private double potential;
+        private int waited;
         private boolean open;
         private final TreeMap<Integer, Integer> swap = new TreeMap<>();
         private final ArrayDeque<Long> messages = new ArrayDeque<>();
@@ -620,7 +621,7 @@
             crowded = turnBad > (crowded || level < 1 ? CALM : JAM) * turnTries;
             if (fill > ADMIT_FILL || level < 1 && fill > USUAL_FILL) want = Math.min(want, room);
             if (fill > ADMIT_FILL && turnBad > JAM * turnTries && now - lastCut > CUT_WAIT) {
-                if (level == 1) channel.other(new Order.LogLine("Busy tasks fail their ops: levels are cut."));
+                if (level == 1) channel.other(new Order.LogLine("Busy tasks fail ops: levels are cut."));
                 lastCut = now;
                 want = Math.min(want, Math.max(level * LEVEL_CUT, room * CUT_MOST));
             }
@@ -812,10 +813,12 @@
                     .thenComparingInt(m -> m.id.number()));
             boolean admitted = false;
             for (Proxy m : moves) {
-                if (channel.roomForRoutine(m) && yieldRatio(m, room) <= 0) {
-                    send(m, 1, room);
+                // A move that small ones always forestall goes with the part that fits, as in a deadlock.
+                double ratio = yieldRatio(m, room);
+                if (channel.roomForRoutine(m) && (ratio <= 0 || ratio < 1 && m.waited * set.sumsEvery() >= SHOWS_AFTER)) {
+                    send(m, 1 - ratio, room);
                     admitted = true;
-                }
+                } else m.waited++;
             }
             boolean awaiting = false;
             for (Freed f : moving) awaiting |= !f.answered && now - f.at < CREDIT_WAIT;
@@ -830,9 +833,7 @@
                     leastRatio = ratio;
                 }
             }
-            if (least != null) {
-                send(least, 1 - leastRatio, room);
-            }
+            if (least != null) send(least, 1 - leastRatio, room);
         }
 
         /** A full task keeps its line as it is, and the others give no more than what the rest can take. */
@@ -916,6 +917,7 @@
                 }
             }
             p.lines = next;
+            p.waited = 0;
             if (share >= 1) p.swap.values().removeIf(to -> warmth(to) >= 1);
             if (!p.bound) {
                 p.bound = true;
