--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -23,6 +23,7 @@
     private static final long SHOWS_AFTER = 30_000; // 0.1 ms; a message's, period's and lateness's time
     private static final double CYCLE = 1e9; // 0.1 ms; a cycle's potential time, above any chain
     private static final double MOVE_LEAST = 0.05; // share of a table's ops; less is noise of the sums
+    private static final double PART_LEAST = 0.1; // share of a task's capacity; a large table's noise
     // The tables.
     private static final double LINE_LEAST = 0.01; // weight; shows a task that comes back, at little loss
     private static final double ROOM_LEAST = 0.1; // share of a draw's weight left to a full task: some chance
@@ -427,11 +428,9 @@
         @Override void on(Note note) {
             if (note instanceof Leaving l) channel.withdraw(l.task(), true);
             if (note instanceof Entering e) entrants.add(e.task());
-            if (note instanceof Heard h) {
-                sumsCame = true;
-                turnBad += h.bad();
-                turnTries += h.tries();
-            }
+            sumsCame |= note instanceof Heard;
+            if (note instanceof Heard h) turnBad += h.bad();
+            if (note instanceof Heard h) turnTries += h.tries();
             if (note instanceof Told t && t.event() instanceof Event.PeerSaid said) peerSaid(said);
         }
 
@@ -805,7 +804,8 @@
                 double change = 0;
                 for (int i = 0; i < tasks; i++) change += Math.abs(p.target[i] - p.line(i)) / 2;
                 boolean entry = p.swap.values().stream().anyMatch(to -> p.line(to) <= 0 || warmth(to) >= 1);
-                if (change >= MOVE_LEAST || entry) moves.add(p);
+                boolean big = IntStream.range(0, tasks).anyMatch(i -> -p.part(i) > PART_LEAST * capacity[i]);
+                if (change >= MOVE_LEAST || big || entry) moves.add(p);
             }
             for (Proxy m : moves) m.potential = -1;
             for (Proxy m : moves) potential(m, moves, room);
@@ -813,9 +813,11 @@
                     .thenComparingInt(m -> m.id.number()));
             boolean admitted = false;
             for (Proxy m : moves) {
-                // A move that small ones always forestall goes with the part that fits, as in a deadlock.
+                // A move off a full task that small ones always forestall goes with the part that fits.
                 double ratio = yieldRatio(m, room);
-                if (channel.roomForRoutine(m) && (ratio <= 0 || ratio < 1 && m.waited * set.sumsEvery() >= SHOWS_AFTER)) {
+                boolean starved = ratio < 1 && m.waited * set.sumsEvery() >= SHOWS_AFTER
+                        && IntStream.range(0, tasks).anyMatch(i -> m.part(i) < 0 && room[i] < 0);
+                if (channel.roomForRoutine(m) && (ratio <= 0 || starved)) {
                     send(m, 1 - ratio, room);
                     admitted = true;
                 } else m.waited++;
--- a/src/test/java/stonespring/decision/AssignerTest.java
+++ b/src/test/java/stonespring/decision/AssignerTest.java
@@ -367,6 +367,22 @@
         assertEquals(0, f.load("t0"));
     }
 
+    /** In a large table one failing task is under the share that makes a move, yet much for that task. */
+    @Test
+    void aLargeProxyMovesOffAFailingTask() {
+        Fleet f = fleet(12, 0);
+        for (int p = 0; p < 8; p++) {
+            f.join(p, p % 2, p == 0 ? 200 : 3, true);
+        }
+        turns(f, 4, 0.05, Map.of());
+        String full = f.lines(f.proxies.get(0)).firstKey();
+        double before = f.load(full);
+        for (int i = 0; i < 12; i++) {
+            turns(f, 1, 0.05, Map.of(full, 1.0, "t" + (3 + i % 8), i % 2 * 0.6));
+        }
+        assertTrue(f.load(full) < 0.9 * before, before + " to " + f.load(full));
+    }
+
     @Test
     void failedFollowIsTriedAgainAndTheListKept() {
         Fleet f = new Fleet(Fleet.settings(1, Settings.LevelKind.SHARE, 30, 4, true));
