--- a/src/main/java/stonespring/simhost/SettingsReader.java
+++ b/src/main/java/stonespring/simhost/SettingsReader.java
@@ -29,7 +29,7 @@
         for (JsonNode node : opTypeNodes) {
             opTypes.put(child(node, "name").asText(), new OpTypeId(types.size()));
             types.add(new OpType(repeat(child(node, "repeat").asText()), time(node, "goalTimeS"),
-                    time(node, "giveUpS"), number(node, "gain")));
+                    number(node, "gain")));
         }
         settings = new Settings((int) number(facts, "balancers"), zones.size(), List.copyOf(types),
                 child(facts, "discovery").asText().equals("on_request"),
--- a/src/test/java/stonespring/decision/Fleet.java
+++ b/src/test/java/stonespring/decision/Fleet.java
@@ -77,9 +77,9 @@
     static Settings settings(int assigners, Settings.LevelKind levels, int messagesMost, int standing, boolean asks,
                              int backlog, double pace) {
         return new Settings(assigners, 2, List.of(
-                new OpType(OpType.Repeat.RETRYABLE, SECOND / 2, 2 * SECOND, 3),
-                new OpType(OpType.Repeat.DEDUPLICATED, SECOND, 3 * SECOND, 3),
-                new OpType(OpType.Repeat.ONCE_ONLY, SECOND, 3 * SECOND, 2)),
+                new OpType(OpType.Repeat.RETRYABLE, SECOND / 2, 3),
+                new OpType(OpType.Repeat.DEDUPLICATED, SECOND, 3),
+                new OpType(OpType.Repeat.ONCE_ONLY, SECOND, 2)),
                 asks, levels, backlog, 10, messagesMost, 10 * SECOND, pace, 5 * SECOND, standing, 8, SECOND, false, 0.1,
                 assigners > 1, 10 * SECOND, 0.2, 3, 0.1);
     }
