--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -800,7 +800,7 @@
             List<Proxy> moves = new ArrayList<>();
             for (Proxy p : known) {
                 if (urgent.contains(p)) continue;
-                aimAtRoom(p, p.target, room);
+                aimAtRoom(p, room);
                 double change = 0;
                 for (int i = 0; i < tasks; i++) change += Math.abs(p.target[i] - p.line(i)) / 2;
                 boolean entry = p.swap.values().stream().anyMatch(to -> p.line(to) <= 0 || warmth(to) >= 1);
@@ -839,21 +839,21 @@
         }
 
         /** A full task keeps its line as it is, and the others give no more than what the rest can take. */
-        private void aimAtRoom(Proxy p, double[] target, double[] room) {
+        private void aimAtRoom(Proxy p, double[] room) {
             double up = 0;
-            double downBy = 0;
+            double down = 0;
             for (int i = 0; i < tasks; i++) {
-                double by = target[i] - p.line(i);
+                double by = p.target[i] - p.line(i);
                 if (by > 0 && room[i] <= 0) {
-                    target[i] = p.line(i);
+                    p.target[i] = p.line(i);
                 } else if (by > 0) {
                     up += by;
                 } else {
-                    downBy -= by;
+                    down -= by;
                 }
             }
-            for (int i = 0; i < tasks && downBy > up; i++) {
-                if (target[i] < p.line(i)) target[i] = p.line(i) - (p.line(i) - target[i]) * up / downBy;
+            for (int i = 0; i < tasks && down > up; i++) {
+                if (p.target[i] < p.line(i)) p.target[i] = p.line(i) + (p.target[i] - p.line(i)) * up / down;
             }
         }
 
--- a/src/test/java/stonespring/decision/AssignerTest.java
+++ b/src/test/java/stonespring/decision/AssignerTest.java
@@ -15,8 +15,11 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import stonespring.model.Event;
 import stonespring.model.Listing;
+import stonespring.model.LoadReport;
 import stonespring.model.Order;
 import stonespring.model.Settings;
+import stonespring.model.TaskId;
+import stonespring.model.ZoneId;
 
 /** Plain cases, and seeded random runs that check the rules after every step. */
 final class AssignerTest {
@@ -35,6 +38,15 @@
         return f;
     }
 
+    /** Proxies that bring little each, but for the first. */
+    private static Fleet withLargeProxy(int tasks, int proxies, double large, double small) {
+        Fleet f = fleet(tasks, 0);
+        for (int p = 0; p < proxies; p++) {
+            f.join(p, p % 2, p == 0 ? large : small, true);
+        }
+        return f;
+    }
+
     /** Turns of one second each: sums, a step, and answers to all that was ordered. */
     private static void turns(Fleet f, int count, double busyPerOp, Map<String, Double> bad) {
         for (int i = 0; i < count; i++) {
@@ -160,8 +172,8 @@
         assertEquals(1, of(f, Order.Withdraw.class).size(), "rules act before sums are heard");
         List<Order.Bind> binds = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
-            f.due.add(new Event.TaskSums(new stonespring.model.TaskId("t1"), new stonespring.model.ZoneId(0), 10, 0,
-                    SECOND, 1000, stonespring.model.LoadReport.NONE));
+            f.due.add(new Event.TaskSums(new TaskId("t1"), new ZoneId(0), 10, 0,
+                    SECOND, 1000, LoadReport.NONE));
             f.step(SECOND);
             binds.addAll(of(f, Order.Bind.class));
         }
@@ -198,10 +210,7 @@
     /** A proxy that shuns its other lines sends all to a cold one, whatever its weight: so only small ones name it. */
     @Test
     void inAJamOnlySmallProxiesNameColdTasks() {
-        Fleet f = fleet(6, 0);
-        for (int p = 0; p < 8; p++) {
-            f.join(p, p % 2, p == 0 ? 100 : 2, true);
-        }
+        Fleet f = withLargeProxy(6, 8, 100, 2);
         turns(f, 10, 0.03, Map.of());
         Map<String, Double> bad = new TreeMap<>();
         f.list.keySet().forEach(t -> bad.put(t, 0.6));
@@ -216,10 +225,7 @@
     /** A few tasks can't carry what a large proxy brings, whatever the weights of their lines. */
     @Test
     void aLargeProxysTableGrows() {
-        Fleet f = fleet(12, 0);
-        for (int p = 0; p < 5; p++) {
-            f.join(p, p % 2, p == 0 ? 100 : 5, true);
-        }
+        Fleet f = withLargeProxy(12, 5, 100, 5);
         turns(f, 20, 0.05, Map.of());
         assertTrue(f.lines(f.proxies.get(0)).size() >= 10, "lines: " + f.lines(f.proxies.get(0)).size());
         assertTrue(f.lines(f.proxies.get(1)).size() <= 6, "a small one's table stays small");
@@ -370,10 +376,7 @@
     /** In a large table one failing task is under the share that makes a move, yet much for that task. */
     @Test
     void aLargeProxyMovesOffAFailingTask() {
-        Fleet f = fleet(12, 0);
-        for (int p = 0; p < 8; p++) {
-            f.join(p, p % 2, p == 0 ? 200 : 3, true);
-        }
+        Fleet f = withLargeProxy(12, 8, 200, 3);
         turns(f, 4, 0.05, Map.of());
         String full = f.lines(f.proxies.get(0)).firstKey();
         double before = f.load(full);
