--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -79,7 +79,6 @@
 
     private interface Note { }
     private record Entry(Listing listing) implements Note { }
-    private record Missing() implements Note { }
     private record Told(Event event) implements Note { }
     private record Leaving(int task) implements Note { }
     private record Entering(int task) implements Note { }
@@ -238,7 +237,6 @@
 
         @Override void on(Note note) {
             if (note instanceof Entry e) entry(e.listing());
-            if (note instanceof Missing && state[index] != Listing.State.GONE) leave(Listing.State.GONE);
             if (note instanceof Told t && t.event() instanceof Event.TaskSums sums) sums(sums);
         }
 
@@ -317,7 +315,11 @@
                 post(t, new Entry(l));
             }
             if (e.kind() != Event.ListKind.WHOLE) return;
-            for (int i = 0; i < tasks; i++) if (!seen[i]) post(task[i], new Missing());
+            for (int i = 0; i < tasks; i++) {
+                if (seen[i] || state[i] == Listing.State.GONE) continue;
+                Listing gone = new Listing(task[i].id, new ZoneId(zone[i]), listed[i], Listing.State.GONE, 0);
+                post(task[i], new Entry(gone));
+            }
         }
     }
 
@@ -330,7 +332,7 @@
         private long joinedAt;
         private double ops;
         private final double[] opsByType = new double[set.opTypes().size()];
-        private double[] lines = new double[0], target = new double[0];
+        private final List<Line> table = new ArrayList<>();
         private double potential;
         private int waited;
         private boolean open;
@@ -344,29 +346,43 @@
         }
 
         double typeOps(int k) { return Double.isNaN(opsByType[k]) ? 0 : opsByType[k]; }
-        TableId table() { return new TableId(id.number()); }
+        TableId tableId() { return new TableId(id.number()); }
+
+        /** The table's line for a task, named or aimed at; null if it has none. */
+        Line find(int i) {
+            for (Line l : table) if (l.task == i) return l;
+            return null;
+        }
+
+        boolean names(int i) {
+            Line l = find(i);
+            return l != null && l.has > 0;
+        }
+
+        /** Aims a new line at a task; lines stay in the order of their tasks. */
+        Line add(int i, double goal) {
+            int at = 0;
+            while (at < table.size() && table.get(at).task < i) at++;
+            if (at == table.size() || table.get(at).task != i) table.add(at, new Line(i));
+            table.get(at).goal = goal;
+            return table.get(at);
+        }
 
-        /** Ops a second that the move to the target brings a task; below 0 it takes them away. */
-        double part(int i) { return ops * (target[i] - line(i)); }
+        /** Ops a second that the move to the goals brings a line's task; below 0 it takes them away. */
+        double part(Line l) { return ops * (l.goal - l.has); }
 
         /** A table that names what left, or has no line: nothing waits for a turn then. */
         boolean broken() {
-            boolean any = false;
-            for (int i = 0; i < tasks; i++) {
-                if (line(i) > 0 && !live(i)) return true;
-                any |= line(i) > 0;
-            }
-            return !any;
+            return table.stream().noneMatch(l -> l.has > 0)
+                    || table.stream().anyMatch(l -> l.has > 0 && !live(l.task));
         }
 
         /** Time that the move's lines take in the channel. */
         double ownTime() {
-            long changed = IntStream.range(0, tasks).filter(i -> differs(target[i], line(i))).count();
+            long changed = table.stream().filter(l -> differs(l.goal, l.has)).count();
             return (changed + set.messageHead()) * Tenths.SECOND / set.linesPerSecond();
         }
 
-        double line(int i) { return i < lines.length ? lines[i] : 0; }
-
         @Override void on(Note note) {
             Event event = ((Told) note).event();
             if (event instanceof Event.ProxyJoined e) {
@@ -400,6 +416,14 @@
         }
     }
 
+    /** One line of a table: the weight that it has and the one that it shall have. */
+    private static final class Line {
+        private final int task;
+        private double has, goal, price;
+
+        Line(int task) { this.task = task; }
+    }
+
     /** Load that a sent move shifts and that the sums don't show yet. */
     private static final class Freed {
         private int mark;
@@ -416,12 +440,13 @@
 
     private final class Planner extends Part {
         private final List<Integer> entrants = new ArrayList<>();
-        private final List<Proxy> urgent = new ArrayList<>();
+        private final Set<Proxy> urgent = new LinkedHashSet<>();
         private final List<Freed> moving = new ArrayList<>();
         private boolean sumsCame, crowded;
         private long turnTries, turnBad, lastTurn = NEVER, lastCut = NEVER, toldPeers = NEVER;
         private int turns;
         private double[] capacity = new double[0], planned = new double[0];
+        private double part = 1, allListed, meanCapacity, meanFill;
         private double demand, peerDemand, level = 1;
         private final TreeMap<Integer, Said> peers = new TreeMap<>();
 
@@ -477,6 +502,7 @@
                 turns++;
             }
             boolean anyOut = IntStream.range(0, tasks).anyMatch(i -> !live(i));
+            boolean warn = false;
             for (Proxy p : proxies.values()) {
                 // Tables from before a start are left alone until sums came, but what left may be all of one.
                 boolean late = anyOut && now - p.joinedAt > set.emptyLimit() / 2;
@@ -485,9 +511,10 @@
                 } else if (p.joined && !p.bound && !p.warned) {
                     // Its tables may name what left, and withdrawals don't reach later joiners.
                     p.warned = true;
-                    for (int i = 0; i < tasks; i++) if (!live(i)) channel.withdraw(i, true);
+                    warn = true;
                 }
             }
+            for (int i = 0; i < tasks && warn; i++) if (!live(i)) channel.withdraw(i, true);
             urgent.removeIf(p -> !channel.roomForUrgent(p));
             if (set.slices()) urgent.clear();
             if (set.slices() || urgent.isEmpty() && !turn) return; // slices' tables stand as stored
@@ -502,7 +529,7 @@
                 if (!p.joined || !p.bound && !urgent.contains(p)) continue;
                 known.add(p);
                 lineUp(p);
-                for (int i = 0; i < tasks; i++) planned[i] += p.ops * p.target[i];
+                for (Line l : p.table) planned[l.task] += p.ops * l.goal;
             }
             weigh(known);
             capCold(known);
@@ -542,7 +569,7 @@
         /** Ops a second that all proxies bring a task: told by it, or heard here and from peers. */
         private double total(int i) {
             if (!Double.isNaN(told[i])) return Math.max(told[i], rate[i]);
-            return !peers.isEmpty() ? rate[i] + others[i] : rate[i] / share();
+            return !peers.isEmpty() ? rate[i] + others[i] : rate[i] / part;
         }
 
         /** This assigner's part of all traffic: by what peers say, else by its part of the proxies. */
@@ -557,17 +584,21 @@
         private void weighCapacity() {
             capacity = new double[tasks];
             demand = proxies.values().stream().mapToDouble(p -> p.joined ? p.ops : 0).sum();
+            part = share();
             double read = sum(i -> costReadings[i] > 0 ? 1 / cost[i] : 0);
             double readListed = sum(i -> costReadings[i] > 0 ? listed[i] : 0);
-            double allListed = sum(i -> listed[i]);
+            allListed = sum(i -> listed[i]);
             for (int i = 0; i < tasks; i++) {
                 if (live(i)) {
                     double full = costReadings[i] > 0 ? 1 / cost[i]
                             : read > 0 ? read * listed[i] / readListed
-                            : listed[i] / allListed * Math.max(1, demand / share()) / USUAL_FILL;
+                            : listed[i] / allListed * Math.max(1, demand / part) / USUAL_FILL;
                     capacity[i] = full * warmth(i);
                 }
             }
+            double all = sum(i -> capacity[i]);
+            meanCapacity = all / Math.max(1, sum(i -> 1));
+            meanFill = sum(this::total) / all;
         }
 
         /**
@@ -581,25 +612,23 @@
             smallFirst.sort(Comparator.comparingDouble(p -> p.ops));
             double[] room = new double[tasks];
             double letIn = set.levelKind() == Settings.LevelKind.SHARE ? level : 1;
-            double most = COLD_CROWDED * set.fallMultiple() * share();
+            double most = COLD_CROWDED * set.fallMultiple() * part;
             for (int i = 0; i < tasks; i++) room[i] = most * capacity[i];
             for (Proxy p : smallFirst) {
-                int[] cold = IntStream.range(0, tasks).filter(i -> p.target[i] > 0 && warmth(i) < 1)
-                        .toArray();
+                List<Line> cold = p.table.stream().filter(l -> l.goal > 0 && warmth(l.task) < 1).toList();
                 double all;
                 boolean over;
                 do {
                     over = false;
-                    double sum = Arrays.stream(cold).mapToDouble(i -> p.target[i]).sum();
-                    all = p.ops * letIn / Math.max(1e-9, sum);
-                    for (int i : cold) {
-                        if (all * p.target[i] <= room[i]) continue;
+                    all = p.ops * letIn / Math.max(1e-9, cold.stream().mapToDouble(l -> l.goal).sum());
+                    for (Line l : cold) {
+                        if (l.goal <= 0 || all * l.goal <= room[l.task]) continue;
                         over = true;
-                        p.target[i] = 0;
-                        if (p.line(i) > 0) urgent.add(p);
+                        l.goal = 0;
+                        if (l.has > 0) urgent.add(p);
                     }
                 } while (over);
-                for (int i : cold) room[i] -= all * p.target[i];
+                for (Line l : cold) room[l.task] -= all * l.goal;
             }
         }
 
@@ -616,7 +645,7 @@
             double fill = reported > 0 ? sum(i -> busy[i] >= 0 ? capacity[i] * busy[i] : 0) / reported : 0;
             double step = (double) set.sumsEvery() / LEVEL_LAG;
             double want = Math.min(1, level * Math.pow(ADMIT_FILL / Math.max(fill, BUSY_LEAST), step));
-            double room = ADMIT_FILL * able * share() / demand;
+            double room = ADMIT_FILL * able * part / demand;
             crowded = turnBad > (crowded || level < 1 ? CALM : JAM) * turnTries;
             if (fill > ADMIT_FILL || level < 1 && fill > USUAL_FILL) want = Math.min(want, room);
             if (fill > ADMIT_FILL && turnBad > JAM * turnTries && now - lastCut > CUT_WAIT) {
@@ -665,54 +694,55 @@
 
         /** The table that a proxy keeps: its lines, with what left swapped for live tasks. */
         private void lineUp(Proxy p) {
-            double[] target = new double[tasks];
-            p.target = target;
-            Arrays.setAll(target, i -> live(i) ? p.line(i) : 0);
-            double sum = Arrays.stream(target).sum();
-            int count = (int) Arrays.stream(target).filter(w -> w > 0).count();
-            p.swap.entrySet().removeIf(e -> !live(e.getValue()) || target[e.getKey()] <= 0);
+            p.table.removeIf(l -> l.has <= 0);
+            for (Line l : p.table) l.goal = live(l.task) ? l.has : 0;
+            double sum = p.table.stream().mapToDouble(l -> l.goal).sum();
+            int count = (int) p.table.stream().filter(l -> l.goal > 0).count();
+            p.swap.entrySet().removeIf(e -> !live(e.getValue()) || !live(e.getKey()) || !p.names(e.getKey()));
             for (Map.Entry<Integer, Integer> e : p.swap.entrySet()) {
                 // A cold task takes the line over as it warms: until then both stand.
-                int from = e.getKey();
+                Line from = p.find(e.getKey());
                 int to = e.getValue();
-                double most = target[from] * Math.min(1, capacity[to] / Math.max(1e-9, capacity[from]));
-                target[to] = Math.max(target[to], Math.max(LINE_LEAST, most));
+                double most = from.goal * Math.min(1, capacity[to] / Math.max(1e-9, capacity[from.task]));
+                double had = p.names(to) ? p.find(to).goal : 0;
+                Line line = p.add(to, Math.max(had, Math.max(LINE_LEAST, most)));
                 if (warmth(to) >= 1) {
-                    target[to] = Math.max(target[to], target[from]);
-                    target[from] = 0;
+                    line.goal = Math.max(line.goal, from.goal);
+                    from.goal = 0;
                 }
             }
             // A table too small for its proxy's ops grows: a few tasks can't carry what a large proxy brings.
-            double mean = sum(i -> capacity[i]) / Math.max(1, sum(i -> 1));
             int wantedLines = Math.max(Math.max(LINES_LEAST, set.standingLines()),
-                    (int) Math.ceil(p.ops / (TABLE_FILL * mean)));
-            double each = count == 0 ? 0 : sum / count;
-            if (IntStream.range(0, tasks).noneMatch(i -> target[i] > 0 && warmth(i) >= 1)) {
+                    (int) Math.ceil(p.ops / (TABLE_FILL * meanCapacity)));
+            if (p.table.stream().noneMatch(l -> l.goal > 0 && warmth(l.task) >= 1)) {
                 // A table of cold tasks alone would push them over, or be empty where their lines are capped.
-                int i = draw(p, target, 1);
-                if (i >= 0) target[i] = count++ == 0 ? capacity[i] : 1;
+                int i = draw(p, 1);
+                if (i >= 0) p.add(i, count++ == 0 ? capacity[i] : 1);
             }
-            while (count < wantedLines) {
-                int i = draw(p, target, 0);
+            for (; count < wantedLines; count++) {
+                int i = draw(p, 0);
                 if (i < 0) break;
-                target[i] = each > 0 ? Math.max(LINE_LEAST, (1 - sum) / Math.max(1, wantedLines - count))
-                        : capacity[i] * (zone[i] == p.zoneIndex ? 1 : AWAY_START);
-                count++;
+                p.add(i, sum > 0 ? Math.max(LINE_LEAST, (1 - sum) / Math.max(1, wantedLines - count))
+                        : capacity[i] * (zone[i] == p.zoneIndex ? 1 : AWAY_START));
             }
-            normalise(target);
+            normalise(p);
         }
 
         /** A warm enough task not named yet, drawn by listed weight, warmth, room and zone; -1 if none. */
-        private int draw(Proxy p, double[] target, double warmEnough) {
+        private int draw(Proxy p, double warmEnough) {
             double[] weight = new double[tasks];
             double all = 0;
             for (int i = 0; i < tasks; i++) {
-                if (!live(i) || target[i] > 0 || warmth(i) < warmEnough) continue;
-                weight[i] = listed[i] * warmth(i)
-                        * Math.max(ROOM_LEAST, 1 - planned[i] / (capacity[i] * share()))
+                if (!live(i) || warmth(i) < warmEnough) continue;
+                double free = 1 - planned[i] / (capacity[i] * part);
+                weight[i] = listed[i] * warmth(i) * Math.max(ROOM_LEAST, free)
                         * (zone[i] == p.zoneIndex ? HOME_PULL : 1) * (1.02 - badShare(p.zoneIndex, i));
                 all += weight[i];
             }
+            for (Line l : p.table) {
+                if (l.goal > 0) all -= weight[l.task];
+                if (l.goal > 0) weight[l.task] = 0;
+            }
             double at = chance() * all;
             for (int i = 0; i < tasks; i++) if (weight[i] > 0 && (at -= weight[i]) < 0) return i;
             return -1;
@@ -720,7 +750,6 @@
 
         /** New and returned tasks take the most loaded line of a weight-drawn share of tables. */
         private void enter() {
-            double allListed = sum(i -> listed[i]);
             // A table not known yet may name what returned cold: that stays withdrawn until it is.
             if (proxies.values().stream().anyMatch(p -> p.joined && !p.bound)) return;
             enterIdle();
@@ -729,14 +758,14 @@
                 channel.withdraw(e, false);
                 entered[e] = now;
                 for (Proxy p : proxies.values()) {
-                    if (!p.joined || !p.bound || p.line(e) > 0) continue;
+                    if (!p.joined || !p.bound || p.names(e)) continue;
                     int count = 0;
                     int most = -1;
-                    for (int i = 0; i < tasks; i++) {
-                        if (live(i) && p.line(i) > 0) {
-                            count++;
-                            if (!p.swap.containsKey(i) && (most < 0 || fill(i) > fill(most))) most = i;
-                        }
+                    for (Line l : p.table) {
+                        int i = l.task;
+                        if (!live(i) || l.has <= 0) continue;
+                        count++;
+                        if (!p.swap.containsKey(i) && (most < 0 || fill(i) > fill(most))) most = i;
                     }
                     double home = zone[e] == p.zoneIndex ? HOME_ENTRY : 1 / HOME_ENTRY;
                     if (most >= 0 && chance() < home * count * listed[e] / allListed) p.swap.put(most, e);
@@ -747,10 +776,10 @@
 
         /** A task that chance left out of most tables enters as a returned one does. */
         private void enterIdle() {
-            double mean = sum(this::total) / sum(i -> capacity[i]);
             IntStream.range(0, tasks)
                     .filter(i -> live(i) && warmth(i) >= 1 && now - entered[i] > ENTER_AGAIN
-                            && over(bad, i) < CALM * (over(tries, i) + DOUBT) && fill(i) < IDLE_FILL * mean)
+                            && over(bad, i) < CALM * (over(tries, i) + DOUBT)
+                            && fill(i) < IDLE_FILL * meanFill)
                     .boxed().min(Comparator.comparingDouble(this::fill)).filter(i -> !entrants.contains(i))
                     .ifPresent(entrants::add);
         }
@@ -760,29 +789,25 @@
         /** Weights of the lines: ops flow to where the next one loses least, crossing zones at its price. */
         private void weigh(List<Proxy> known) {
             double[] load = new double[tasks];
-            for (int i = 0; i < tasks; i++) {
-                load[i] = Math.max(0, total(i) - rate[i]);
-                for (Proxy p : known) load[i] += p.ops * p.target[i];
-            }
+            for (int i = 0; i < tasks; i++) load[i] = Math.max(0, total(i) - rate[i]);
+            for (Proxy p : known) for (Line l : p.table) load[l.task] += p.ops * l.goal;
             for (int round = 0; round < WEIGHING_ROUNDS; round++) {
                 double steep = 1;
                 for (int i = 0; i < tasks; i++) steep = Math.max(steep, LOSS_POWER * lossPrice(load[i], i));
                 for (Proxy p : known) {
-                    double[] t = p.target;
-                    double[] price = new double[tasks];
                     double mean = 0;
-                    for (int i = 0; i < tasks; i++) {
-                        price[i] = lossPrice(load[i], i) + (zone[i] == p.zoneIndex ? 0 : set.crossZonePrice())
-                                + FAIL_PRICE * badShare(p.zoneIndex, i);
-                        mean += t[i] * price[i];
+                    for (Line l : p.table) {
+                        l.price = lossPrice(load[l.task], l.task) + FAIL_PRICE * badShare(p.zoneIndex, l.task)
+                                + (zone[l.task] == p.zoneIndex ? 0 : set.crossZonePrice());
+                        mean += l.goal * l.price;
+                        load[l.task] -= p.ops * l.goal;
                     }
-                    for (int i = 0; i < tasks; i++) {
-                        load[i] -= p.ops * t[i];
-                        double by = Math.exp((mean - price[i]) / 2 / steep);
-                        if (t[i] > 0) t[i] = Math.max(LINE_LEAST, t[i] * by);
+                    for (Line l : p.table) {
+                        double by = Math.exp((mean - l.price) / 2 / steep);
+                        if (l.goal > 0) l.goal = Math.max(LINE_LEAST, l.goal * by);
                     }
-                    normalise(t);
-                    for (int i = 0; i < tasks; i++) load[i] += p.ops * t[i];
+                    normalise(p);
+                    for (Line l : p.table) load[l.task] += p.ops * l.goal;
                 }
             }
         }
@@ -798,17 +823,23 @@
             moving.removeIf(f -> now - f.at > SHOWS_AFTER);
             double[] room = headroom();
             List<Proxy> moves = new ArrayList<>();
+            Map<Integer, List<Proxy>> waiters = new HashMap<>();
             for (Proxy p : known) {
                 if (urgent.contains(p)) continue;
                 aimAtRoom(p, room);
-                double change = 0;
-                for (int i = 0; i < tasks; i++) change += Math.abs(p.target[i] - p.line(i)) / 2;
-                boolean entry = p.swap.values().stream().anyMatch(to -> p.line(to) <= 0 || warmth(to) >= 1);
-                boolean big = IntStream.range(0, tasks).anyMatch(i -> -p.part(i) > PART_LEAST * capacity[i]);
-                if (change >= MOVE_LEAST || big || entry) moves.add(p);
+                double change = p.table.stream().mapToDouble(l -> Math.abs(l.goal - l.has) / 2).sum();
+                boolean entry = p.swap.values().stream().anyMatch(to -> !p.names(to) || warmth(to) >= 1);
+                boolean big = p.table.stream().anyMatch(l -> -p.part(l) > PART_LEAST * capacity[l.task]);
+                if (change < MOVE_LEAST && !big && !entry) continue;
+                moves.add(p);
+                for (Line l : p.table) {
+                    if (p.part(l) > 1e-6 && p.part(l) > room[l.task]) {
+                        waiters.computeIfAbsent(l.task, i -> new ArrayList<>()).add(p);
+                    }
+                }
             }
             for (Proxy m : moves) m.potential = -1;
-            for (Proxy m : moves) potential(m, moves, room);
+            for (Proxy m : moves) potential(m, waiters);
             moves.sort(Comparator.<Proxy>comparingDouble(m -> -m.potential).thenComparingDouble(m -> -m.ops)
                     .thenComparingInt(m -> m.id.number()));
             boolean admitted = false;
@@ -816,56 +847,40 @@
                 // A move off a full task that small ones always forestall goes with the part that fits.
                 double ratio = yieldRatio(m, room);
                 boolean starved = ratio < 1 && m.waited * set.sumsEvery() >= SHOWS_AFTER
-                        && IntStream.range(0, tasks).anyMatch(i -> m.part(i) < 0 && room[i] < 0);
+                        && m.table.stream().anyMatch(l -> m.part(l) < 0 && room[l.task] < 0);
                 if (channel.roomForRoutine(m) && (ratio <= 0 || starved)) {
                     send(m, 1 - ratio, room);
                     admitted = true;
                 } else m.waited++;
             }
-            boolean awaiting = false;
-            for (Freed f : moving) awaiting |= !f.answered && now - f.at < CREDIT_WAIT;
-            if (admitted || awaiting) return;
+            if (admitted || moving.stream().anyMatch(f -> !f.answered && now - f.at < CREDIT_WAIT)) return;
             // Deadlock: the move that yields least goes with the part that fits.
-            Proxy least = null;
-            double leastRatio = 1;
-            for (Proxy m : moves) {
-                double ratio = yieldRatio(m, room);
-                if (ratio < leastRatio && channel.roomForRoutine(m)) {
-                    least = m;
-                    leastRatio = ratio;
-                }
-            }
-            if (least != null) send(least, 1 - leastRatio, room);
+            moves.stream().filter(m -> yieldRatio(m, room) < 1 && channel.roomForRoutine(m))
+                    .min(Comparator.comparingDouble(m -> yieldRatio(m, room)))
+                    .ifPresent(m -> send(m, 1 - yieldRatio(m, room), room));
         }
 
         /** A full task keeps its line as it is, and the others give no more than what the rest can take. */
         private void aimAtRoom(Proxy p, double[] room) {
             double up = 0;
             double down = 0;
-            for (int i = 0; i < tasks; i++) {
-                double by = p.target[i] - p.line(i);
-                if (by > 0 && room[i] <= 0) {
-                    p.target[i] = p.line(i);
-                } else if (by > 0) {
-                    up += by;
-                } else {
-                    down -= by;
-                }
+            for (Line l : p.table) {
+                if (l.goal > l.has && room[l.task] <= 0) l.goal = l.has;
+                up += Math.max(0, l.goal - l.has);
+                down += Math.max(0, l.has - l.goal);
             }
-            for (int i = 0; i < tasks && down > up; i++) {
-                if (p.target[i] < p.line(i)) p.target[i] = p.line(i) + (p.target[i] - p.line(i)) * up / down;
+            for (Line l : p.table) {
+                if (down > up && l.goal < l.has) l.goal = l.has + (l.goal - l.has) * up / down;
             }
         }
 
         private double[] headroom() {
             double[] room = new double[tasks];
-            double mean = sum(this::total) / sum(i -> capacity[i]);
             for (int i = 0; i < tasks; i++) {
-                if (live(i)) {
-                    double load = total(i);
-                    for (Proxy p : proxies.values()) load += p.bound && !heard[i] ? p.ops * p.line(i) : 0;
-                    room[i] = (capacity[i] * mean / FILL - load) * share();
-                }
+                if (live(i)) room[i] = (capacity[i] * meanFill / FILL - total(i)) * part;
+            }
+            for (Proxy p : proxies.values()) {
+                for (Line l : p.table) if (p.bound && !heard[l.task]) room[l.task] -= p.ops * l.has * part;
             }
             for (Freed f : moving) {
                 boolean credited = f.answered || now - f.at >= CREDIT_WAIT;
@@ -877,65 +892,55 @@
         /** The part of a move that its fullest task has no room for; above 0 it doesn't fit as a whole. */
         private double yieldRatio(Proxy m, double[] room) {
             double least = 1;
-            for (int i = 0; i < tasks; i++) {
-                if (m.part(i) > 1e-6) least = Math.min(least, room[i] / m.part(i));
-            }
+            for (Line l : m.table) if (m.part(l) > 1e-6) least = Math.min(least, room[l.task] / m.part(l));
             return 1 - least;
         }
 
         /** A move's own time and the deepest of the moves that wait for room where it frees some. */
-        private double potential(Proxy m, List<Proxy> moves, double[] room) {
+        private double potential(Proxy m, Map<Integer, List<Proxy>> waiters) {
             if (m.open) return CYCLE;
             if (m.potential >= 0) return m.potential;
             m.open = true;
             double deepest = 0;
-            for (Proxy w : moves) {
-                if (w != m && waitsFor(w, m, room)) deepest = Math.max(deepest, potential(w, moves, room));
+            for (Line l : m.table) {
+                if (m.part(l) >= -1e-6) continue;
+                for (Proxy w : waiters.getOrDefault(l.task, List.of())) {
+                    deepest = Math.max(deepest, potential(w, waiters));
+                }
             }
             m.open = false;
             m.potential = Math.min(CYCLE, m.ownTime() + deepest);
             return m.potential;
         }
 
-        private boolean waitsFor(Proxy w, Proxy m, double[] room) {
-            return IntStream.range(0, tasks)
-                    .anyMatch(i -> m.part(i) < -1e-6 && w.part(i) > 1e-6 && w.part(i) > room[i]);
-        }
-
         /** Orders a move, or the given share of it, and books the load that it shifts. */
         private void send(Proxy p, double share, double[] room) {
-            double[] next = new double[tasks];
             Freed f = new Freed();
-            for (int i = 0; i < tasks; i++) {
-                room[i] -= Math.max(0, p.part(i) * share);
-                double want = live(i) ? p.line(i) + share * (p.target[i] - p.line(i)) : 0;
+            for (Line l : p.table) {
+                room[l.task] -= Math.max(0, p.part(l) * share);
+                double want = live(l.task) ? l.has + share * (l.goal - l.has) : 0;
                 want = Math.round(want * 1000) / 1000.0;
-                next[i] = p.line(i);
-                if (differs(want, p.line(i))) {
-                    channel.line(p, i, want);
-                    if (want > 0) channel.withdraw(i, false);
-                    next[i] = want;
-                    f.parts.put(i, p.ops * (want - (p.bound ? p.line(i) : 0)));
-                }
+                if (!differs(want, l.has)) continue;
+                channel.line(p, l.task, want);
+                if (want > 0) channel.withdraw(l.task, false);
+                f.parts.put(l.task, p.ops * (want - (p.bound ? l.has : 0)));
+                l.has = want;
             }
-            p.lines = next;
             p.waited = 0;
             if (share >= 1) p.swap.values().removeIf(to -> warmth(to) >= 1);
-            if (!p.bound) {
-                p.bound = true;
-                channel.bind(p);
-            } else if (f.parts.isEmpty()) {
-                return;
-            }
+            if (p.bound && f.parts.isEmpty()) return;
+            if (!p.bound) channel.bind(p);
+            p.bound = true;
             f.mark = channel.mark;
             f.at = now;
             p.freed.add(f);
             moving.add(f);
         }
 
-        private void normalise(double[] t) {
-            double sum = Arrays.stream(t).sum();
-            if (sum > 0) Arrays.setAll(t, i -> t[i] / sum);
+        private void normalise(Proxy p) {
+            double sum = 0;
+            for (Line l : p.table) sum += l.goal;
+            if (sum > 0) for (Line l : p.table) l.goal /= sum;
         }
     }
 
@@ -955,20 +960,18 @@
             out[i] = leaves;
             first.add(new Order.Withdraw(task[i].id, leaves));
             for (Proxy p : proxies.values()) {
-                if (p.joined && (!p.bound || p.line(i) > 0)) {
-                    touched.merge(p.id.number(), 1, Integer::sum);
-                }
+                if (p.joined && (!p.bound || p.names(i))) touched.merge(p.id.number(), 1, Integer::sum);
             }
         }
 
         void line(Proxy p, int i, double weight) {
-            lines.add(new Order.SetLine(p.table(), task[i].id, weight));
+            lines.add(new Order.SetLine(p.tableId(), task[i].id, weight));
             if (p.bound) touched.merge(p.id.number(), 1, Integer::sum);
         }
 
         void bind(Proxy p) {
-            binds.add(new Order.Bind(p.table(), p.id, 0));
-            int count = 3 + (int) Arrays.stream(p.lines).filter(w -> w > 0).count();
+            binds.add(new Order.Bind(p.tableId(), p.id, 0));
+            int count = 3 + (int) p.table.stream().filter(l -> l.has > 0).count();
             touched.merge(p.id.number(), count, Integer::sum);
         }
 
