--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -49,12 +49,14 @@
     private static final double DOUBT = 2; // tries; fewer say nothing of a bad share
     // Levels and cold tasks.
     private static final double ADMIT_FILL = 0.9; // share of capacity; above it queues outgrow the targets
-    private static final double JAM = 0.2; // bad share of tries of busy tasks; twice what calm allows
-    private static final double LEVEL_CUT = 0.6; // times; a jam clears within a few cuts
-    private static final double CUT_MOST = 0.4; // times what the capacity read allows; symptoms cut no deeper
-    private static final double RISE_TO = 0.7; // times that too; in calm so much comes in again at once
+    private static final double JAM = 0.2; // bad or late share of tries; twice what calm allows
+    private static final double TRUST_CUT = 0.7; // times; a jam clears within a few cuts
+    private static final double TRUST_LEAST = 0.4; // times the capacity read; symptoms cut no deeper
+    private static final double TRUST_CALM = 0.7; // times; in calm so much comes in again at once
+    private static final double TRUST_MOST = 2; // times; costs may be read so much too high
+    private static final double TRUST_STEP = 0.04; // share a second; a step shows before the third follows
     private static final long CUT_WAIT = 20_000; // 0.1 ms; a cut shows in the sums by then
-    private static final long LEVEL_LAG = 30_000; // 0.1 ms; a change of level shows in the sums by then
+    private static final double PRESSED = 0.8; // share of capacity; below it, and in calm, nothing is rejected
     private static final double TYPE_FLOOR = 3; // times the worst op type's weight; at a third all fall alike
     private static final double ALL_OPS = 1e6; // ops a second; where levels are rates, all that may come
     private static final double LEVEL_LEAST = 0.05; // share; some ops must show whether tasks work
@@ -82,7 +84,7 @@
     private record Told(Event event) implements Note { }
     private record Leaving(int task) implements Note { }
     private record Entering(int task) implements Note { }
-    private record Heard(long tries, long bad) implements Note { }
+    private record Heard(long tries, long bad, double late) implements Note { }
     private record Said(long at, int ops, Map<Integer, Integer> byTask) { }
     private abstract class Part {
         private final ArrayDeque<Note> inbox = new ArrayDeque<>();
@@ -105,6 +107,7 @@
 
     private final Settings set;
     private final long seed;
+    private final double target;
     private long draws;
     private long now;
     private final Roster roster = new Roster();
@@ -121,13 +124,14 @@
     private long[] started = new long[0], entered = new long[0];
     private boolean[] heard = new boolean[0], out = new boolean[0];
     private double[] listed = new double[0], rate = new double[0], busy = new double[0], cost = new double[0];
-    private double[] told = new double[0], others = new double[0];
+    private double[] told = new double[0], others = new double[0], latency = new double[0];
     private final double[][] bad, tries, zoneRate;
     private final long[][] lastLine;
 
     public Assigner(Settings settings, long seed, long now) {
         this.set = settings;
         this.seed = seed;
+        this.target = settings.opTypes().stream().mapToLong(OpType::targetLatency).average().orElse(Tenths.SECOND);
         this.now = now;
         this.bad = new double[settings.zones()][0];
         this.tries = new double[settings.zones()][0];
@@ -175,6 +179,9 @@
         return Math.min(1, set.coldShare() + (1 - set.coldShare()) * age);
     }
 
+    /** Share of good answers after the target latency, as times that spread evenly about a mean would have. */
+    private double late(double latency) { return latency > 0 ? Math.exp(-target / latency) : 0; }
+
     private static double smooth(double old, double seen, double keep) {
         return Double.isNaN(seen) ? old : Double.isNaN(old) ? seen : old * keep + (1 - keep) * seen;
     }
@@ -205,6 +212,7 @@
         cost = Arrays.copyOf(cost, size);
         told = Arrays.copyOf(told, size);
         others = Arrays.copyOf(others, size);
+        latency = Arrays.copyOf(latency, size);
         for (double[][] of : List.of(bad, tries, zoneRate)) {
             Arrays.setAll(of, z -> Arrays.copyOf(of[z], size));
         }
@@ -229,7 +237,7 @@
 
         private void forget() {
             heard[index] = false;
-            busy[index] = told[index] = Double.NaN;
+            busy[index] = told[index] = latency[index] = Double.NaN;
             rate[index] = others[index] = costReadings[index] = 0;
             for (double[][] of : List.of(bad, tries, zoneRate)) for (double[] inZone : of) inZone[index] = 0;
             for (long[] inZone : lastLine) inZone[index] = 0;
@@ -273,7 +281,8 @@
             LoadReport r = e.report();
             busy[index] = smooth(busy[index], r.busyShare(), keep);
             told[index] = smooth(told[index], r.opsPerSecond(), keep);
-            post(planner, new Heard(e.tries(), e.bad()));
+            if (e.goodLatency() > 0) latency[index] = smooth(latency[index], e.goodLatency(), keep);
+            post(planner, new Heard(e.tries(), e.bad(), (e.tries() - e.bad()) * late(e.goodLatency())));
         }
     }
 
@@ -447,7 +456,7 @@
         private int turns;
         private double[] capacity = new double[0], planned = new double[0];
         private double part = 1, allListed, meanCapacity, meanFill;
-        private double demand, peerDemand, level = 1;
+        private double demand, peerDemand, level = 1, trust = 1, turnLate;
         private final TreeMap<Integer, Said> peers = new TreeMap<>();
 
         @Override void on(Note note) {
@@ -456,6 +465,7 @@
             sumsCame |= note instanceof Heard;
             if (note instanceof Heard h) turnBad += h.bad();
             if (note instanceof Heard h) turnTries += h.tries();
+            if (note instanceof Heard h) turnLate += h.late();
             if (note instanceof Told t && t.event() instanceof Event.PeerSaid said) peerSaid(said);
         }
 
@@ -643,19 +653,22 @@
             double able = sum(i -> capacity[i] * Math.min(1, good(i) / Math.max(1e-9, meanGood)));
             double reported = sum(i -> busy[i] >= 0 ? capacity[i] : 0);
             double fill = reported > 0 ? sum(i -> busy[i] >= 0 ? capacity[i] * busy[i] : 0) / reported : 0;
-            double step = (double) set.sumsEvery() / LEVEL_LAG;
-            double want = Math.min(1, level * Math.pow(ADMIT_FILL / Math.max(fill, BUSY_LEAST), step));
-            double room = ADMIT_FILL * able * part / demand;
             crowded = turnBad > (crowded || level < 1 ? CALM : JAM) * turnTries;
-            if (fill > ADMIT_FILL || level < 1 && fill > USUAL_FILL) want = Math.min(want, room);
-            if (fill > ADMIT_FILL && turnBad > JAM * turnTries && now - lastCut > CUT_WAIT) {
-                if (level == 1) channel.other(new Order.LogLine("Busy tasks fail ops: levels are cut."));
+            double trouble = (turnBad + turnLate) / Math.max(DOUBT, turnTries);
+            double step = TRUST_STEP * set.sumsEvery() / Tenths.SECOND;
+            if (trouble > JAM && now - lastCut > CUT_WAIT) {
+                if (trust == 1) channel.other(new Order.LogLine("Busy tasks fail ops: levels are cut."));
                 lastCut = now;
-                want = Math.min(want, Math.max(level * LEVEL_CUT, room * CUT_MOST));
+                trust = Math.max(TRUST_LEAST, trust * TRUST_CUT);
+            } else if (trouble < CALM && fill < ADMIT_FILL) {
+                trust = Math.min(level < 1 ? TRUST_MOST : 1, Math.max(TRUST_CALM, trust * (1 + step)));
+            } else if (fill > ADMIT_FILL) {
+                trust = Math.max(Math.min(1, trust), trust * (1 - step));
             }
-            boolean calm = fill < ADMIT_FILL && turnBad < CALM * turnTries;
-            if (calm) want = Math.max(want, Math.min(1, room * RISE_TO));
+            boolean pressed = level < 1 || fill > PRESSED || trouble > CALM;
+            double want = pressed ? Math.min(1, ADMIT_FILL * able * trust * part / demand) : 1;
             turnBad = turnTries = 0;
+            turnLate = 0;
             want = Math.max(LEVEL_LEAST, want);
             if (Math.abs(want - level) > LEVEL_STEP * level || want == 1 && level < 1) {
                 if (want == 1) channel.other(new Order.LogLine("Tasks have time: all ops are let in again."));
@@ -798,6 +811,7 @@
                     double mean = 0;
                     for (Line l : p.table) {
                         l.price = lossPrice(load[l.task], l.task) + FAIL_PRICE * badShare(p.zoneIndex, l.task)
+                                + late(latency[l.task])
                                 + (zone[l.task] == p.zoneIndex ? 0 : set.crossZonePrice());
                         mean += l.goal * l.price;
                         load[l.task] -= p.ops * l.goal;
--- a/src/test/java/stonespring/decision/AssignerTest.java
+++ b/src/test/java/stonespring/decision/AssignerTest.java
@@ -276,6 +276,24 @@
         assertEquals(1, f.level);
     }
 
+    /** Tasks once ran slow while their reports stood still: half of all tries failed and no level was cut. */
+    @Test
+    void aJamShowsInTriesAndLateAnswersWhateverTasksReport() {
+        for (boolean late : List.of(false, true)) {
+            Fleet f = fleet(8, 8);
+            turns(f, 12, 0.07, Map.of());
+            assertEquals(1, f.level);
+            Map<String, Double> bad = new TreeMap<>();
+            f.list.keySet().forEach(t -> bad.put(t, late ? 0 : 0.5));
+            f.latency = late ? 2 * SECOND : f.latency;
+            turns(f, 12, 0.03, bad);
+            assertTrue(f.level < 0.9, "level " + f.level);
+            f.latency = 1000;
+            turns(f, 30, 0.03, Map.of());
+            assertEquals(1, f.level);
+        }
+    }
+
     /** A type that nobody sent once made a level that is no number. */
     @Test
     void anOpTypeThatNobodySendsHasALevel() {
--- a/src/test/java/stonespring/decision/Fleet.java
+++ b/src/test/java/stonespring/decision/Fleet.java
@@ -55,6 +55,7 @@
     final TreeMap<Integer, Order.Retry> retry = new TreeMap<>();
     int typesSent = 3;
     double level = 1;
+    long latency = 1000;
     final double[] levels = {1, 1, 1};
     long now = 100 * SECOND;
     long timerAt = -1;
@@ -146,7 +147,7 @@
             double all = ops.getOrDefault("0" + task, 0.0) + ops.getOrDefault("1" + task, 0.0);
             long tries = Math.round(perSecond * 10);
             due.add(new Event.TaskSums(new TaskId(task), new ZoneId(key.charAt(0) - '0'), tries,
-                    Math.round(tries * badShares.getOrDefault(task, 0.0)), 10 * SECOND, 1000,
+                    Math.round(tries * badShares.getOrDefault(task, 0.0)), 10 * SECOND, latency,
                     new LoadReport(Math.min(1, all * busyPerOp), Double.NaN, Double.NaN, Double.NaN, Double.NaN)));
         });
     }
