--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -1,7 +1,6 @@
 package stonespring.decision;
 
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.*;
 import java.util.function.IntToDoubleFunction;
 import java.util.stream.IntStream;
@@ -56,7 +55,7 @@
     private static final double TRUST_MOST = 2; // times; costs may be read so much too high
     private static final double TRUST_STEP = 0.04; // share a second; a step shows before the third follows
     private static final long CUT_WAIT = 20_000; // 0.1 ms; a cut shows in the sums by then
-    private static final double PRESSED = 0.8; // share of capacity; below it, and in calm, nothing is rejected
+    private static final double PRESSED = 0.8; // share of capacity; less, in calm, rejects nothing
     private static final double TYPE_FLOOR = 3; // times the worst op type's weight; at a third all fall alike
     private static final double ALL_OPS = 1e6; // ops a second; where levels are rates, all that may come
     private static final double LEVEL_LEAST = 0.05; // share; some ops must show whether tasks work
@@ -67,9 +66,6 @@
     private static final long FOLLOW_RETRY = 5_000; // 0.1 ms; first wait to ask again, doubled each time
     private static final long FOLLOW_LOST = 90_000; // 0.1 ms; an answer, good or bad, comes well before
     private static final long FOLLOW_RETRY_MOST = 40_000; // 0.1 ms; the list is late by seconds anyway
-    private static final long PEER_STALE = 60_000; // 0.1 ms; a few messages of a peer may be lost
-    private static final long PEER_EVERY = 10_000; // 0.1 ms; cheap, and loads don't change faster
-    private static final int PEER_BYTES = 256; // bytes; all that a message to a peer can hold
     private static final double CHANNEL_SLOW = 5; // times; the slowest channel known, and some
     private static final double ROUTINE_LINES = 0.3; // share of the backlog; the rest is for drains
     private static final double ROUTINE_MESSAGES = 0.5; // share of a proxy's messages; likewise
@@ -85,7 +81,6 @@
     private record Leaving(int task) implements Note { }
     private record Entering(int task) implements Note { }
     private record Heard(long tries, long bad, double late) implements Note { }
-    private record Said(long at, int ops, Map<Integer, Integer> byTask) { }
     private abstract class Part {
         private final ArrayDeque<Note> inbox = new ArrayDeque<>();
 
@@ -124,14 +119,14 @@
     private long[] started = new long[0], entered = new long[0];
     private boolean[] heard = new boolean[0], out = new boolean[0];
     private double[] listed = new double[0], rate = new double[0], busy = new double[0], cost = new double[0];
-    private double[] told = new double[0], others = new double[0], latency = new double[0];
+    private double[] told = new double[0], latency = new double[0];
     private final double[][] bad, tries, zoneRate;
     private final long[][] lastLine;
 
     public Assigner(Settings settings, long seed, long now) {
         this.set = settings;
         this.seed = seed;
-        this.target = settings.opTypes().stream().mapToLong(OpType::targetLatency).average().orElse(Tenths.SECOND);
+        this.target = settings.opTypes().stream().mapToLong(OpType::targetLatency).average().orElse(1);
         this.now = now;
         this.bad = new double[settings.zones()][0];
         this.tries = new double[settings.zones()][0];
@@ -147,7 +142,6 @@
             proxies.computeIfAbsent(e.proxy().number(), n -> new Proxy(e.proxy()));
         }
         if (event instanceof Event.OfProxy e) part = proxies.get(e.proxy().number());
-        if (event instanceof Event.PeerSaid) part = planner;
         if (part != null) post(part, new Told(event));
         emptyInboxes();
     }
@@ -179,7 +173,7 @@
         return Math.min(1, set.coldShare() + (1 - set.coldShare()) * age);
     }
 
-    /** Share of good answers after the target latency, as times that spread evenly about a mean would have. */
+    /** Share of good answers after the target latency, by their mean time and the usual spread of times. */
     private double late(double latency) { return latency > 0 ? Math.exp(-target / latency) : 0; }
 
     private static double smooth(double old, double seen, double keep) {
@@ -211,7 +205,6 @@
         busy = Arrays.copyOf(busy, size);
         cost = Arrays.copyOf(cost, size);
         told = Arrays.copyOf(told, size);
-        others = Arrays.copyOf(others, size);
         latency = Arrays.copyOf(latency, size);
         for (double[][] of : List.of(bad, tries, zoneRate)) {
             Arrays.setAll(of, z -> Arrays.copyOf(of[z], size));
@@ -223,12 +216,11 @@
 
     private final class Task extends Part {
         private final TaskId id;
-        private final int index, shortName;
+        private final int index;
 
         Task(TaskId id) {
             this.id = id;
             this.index = tasks++;
-            this.shortName = (int) (crc(id.name().getBytes(StandardCharsets.UTF_8)) & 0xffff);
             if (index == task.length) grow(Math.max(32, 2 * index));
             task[index] = this;
             state[index] = Listing.State.GONE;
@@ -238,7 +230,7 @@
         private void forget() {
             heard[index] = false;
             busy[index] = told[index] = latency[index] = Double.NaN;
-            rate[index] = others[index] = costReadings[index] = 0;
+            rate[index] = costReadings[index] = 0;
             for (double[][] of : List.of(bad, tries, zoneRate)) for (double[] inZone : of) inZone[index] = 0;
             for (long[] inZone : lastLine) inZone[index] = 0;
         }
@@ -452,12 +444,11 @@
         private final Set<Proxy> urgent = new LinkedHashSet<>();
         private final List<Freed> moving = new ArrayList<>();
         private boolean sumsCame, crowded;
-        private long turnTries, turnBad, lastTurn = NEVER, lastCut = NEVER, toldPeers = NEVER;
+        private long turnTries, turnBad, lastTurn = NEVER, lastCut = NEVER;
         private int turns;
         private double[] capacity = new double[0], planned = new double[0];
         private double part = 1, allListed, meanCapacity, meanFill;
-        private double demand, peerDemand, level = 1, trust = 1, turnLate;
-        private final TreeMap<Integer, Said> peers = new TreeMap<>();
+        private double demand, level = 1, trust = 1, turnLate;
 
         @Override void on(Note note) {
             if (note instanceof Leaving l) channel.withdraw(l.task(), true);
@@ -466,47 +457,12 @@
             if (note instanceof Heard h) turnBad += h.bad();
             if (note instanceof Heard h) turnTries += h.tries();
             if (note instanceof Heard h) turnLate += h.late();
-            if (note instanceof Told t && t.event() instanceof Event.PeerSaid said) peerSaid(said);
-        }
-
-        /** What a peer's proxies bring, in tenths of ops a second: all, then pairs of short name and ops. */
-        private void peerSaid(Event.PeerSaid said) {
-            ByteBuffer in = ByteBuffer.wrap(said.bytes());
-            if (in.remaining() < 2) return;
-            int all = in.getShort() & 0xffff;
-            Map<Integer, Integer> byTask = new HashMap<>();
-            while (in.remaining() >= 4) byTask.put(in.getShort() & 0xffff, in.getShort() & 0xffff);
-            peers.put(said.from().number(), new Said(now, all, byTask));
-        }
-
-        private void sumPeers() {
-            peers.values().removeIf(said -> now - said.at() >= PEER_STALE);
-            peerDemand = peers.values().stream().mapToInt(Said::ops).sum() / 10.0;
-            for (int i = 0; i < tasks; i++) {
-                int name = task[i].shortName;
-                others[i] = 0;
-                for (Said said : peers.values()) others[i] += said.byTask().getOrDefault(name, 0) / 10.0;
-            }
-        }
-
-        private void tellPeers() {
-            if (!set.peers() || set.assigners() < 2 || now - toldPeers < PEER_EVERY) return;
-            toldPeers = now;
-            ByteBuffer text = ByteBuffer.allocate(PEER_BYTES);
-            text.putShort((short) Math.min(65_535, demand * 10));
-            for (int i = 0; i < tasks && text.remaining() >= 4; i++) {
-                if (live(i) && rate[i] >= 0.1) {
-                    text.putShort((short) task[i].shortName).putShort((short) Math.min(65_535, rate[i] * 10));
-                }
-            }
-            channel.other(new Order.TellPeer(new PeerId(-1), Arrays.copyOf(text.array(), text.position())));
         }
 
         /** Called once at the end of a moment. */
         void plan() {
             boolean turn = sumsCame && now - lastTurn >= set.sumsEvery() * 9 / 10;
             if (turn) {
-                sumPeers();
                 settleSums();
                 lastTurn = now;
                 turns++;
@@ -546,7 +502,6 @@
             urgent.removeIf(p -> !channel.roomForUrgent(p));
             for (Proxy p : known) if (urgent.contains(p)) send(p, 1, new double[tasks]);
             if (turn) {
-                tellPeers();
                 rounds(known);
             }
             urgent.clear();
@@ -579,13 +534,12 @@
         /** Ops a second that all proxies bring a task: told by it, or heard here and from peers. */
         private double total(int i) {
             if (!Double.isNaN(told[i])) return Math.max(told[i], rate[i]);
-            return !peers.isEmpty() ? rate[i] + others[i] : rate[i] / part;
+            return rate[i] / part;
         }
 
         /** This assigner's part of all traffic: by what peers say, else by its part of the proxies. */
         private double share() {
             if (set.assigners() == 1) return 1;
-            if (!peers.isEmpty()) return Math.max(0.01, demand / Math.max(0.01, demand + peerDemand));
             double joined = proxies.values().stream().filter(p -> p.joined).count();
             return Math.max(0.01, Math.min(1, joined / set.proxies()));
         }
--- a/src/main/java/stonespring/model/Settings.java
+++ b/src/main/java/stonespring/model/Settings.java
@@ -6,7 +6,7 @@
 public record Settings(int assigners, int zones, List<OpType> opTypes, boolean listOnRequest, LevelKind levelKind,
                        int backlogLines, int messageHead, int messagesMost, long messagesOver,
                        double linesPerSecond, long emptyLimit, int standingLines, int proxies, long sumsEvery,
-                       boolean slices, double crossZonePrice, boolean peers, long coldTime, double coldShare,
+                       boolean slices, double crossZonePrice, long coldTime, double coldShare,
                        double fallMultiple, double worstTypeWeight) {
     /** How a level is meant. */
     public enum LevelKind { NONE, SHARE, RATE }
--- a/src/main/java/stonespring/simhost/SettingsReader.java
+++ b/src/main/java/stonespring/simhost/SettingsReader.java
@@ -38,7 +38,7 @@
                 time(fleet, "messagesOverS", 10), number(fleet, "pushRate"), time(fleet, "emptyForS"),
                 (int) number(fleet, "bootstrap"), (int) number(fleet, "proxyCount"), time(fleet, "reportEveryS"),
                 number(fleet, "partitionsN", 0) > 0, number(child(facts, "prices"), "crossZone", 0),
-                facts.path("ceilings").path("peers").asBoolean(false), time(rules, "coldS"),
+                time(rules, "coldS"),
                 number(rules, "coldShare"), number(rules, "fallMultiple"),
                 number(facts.path("scoringMix"), "worstClass", 0));
     }
