--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -45,6 +45,7 @@
     private static final double BUSY_LEAST = 0.15; // share; under it a report's noise rules the cost
     private static final double COST_STEP = 0.05; // share; twenty readings even out a tenth of noise
     private static final double CALM = 0.1; // bad share of tries; above it work is refused or in vain
+    private static final double DEAD = 0.8; // bad share of tries; more than tasks in a jam show
     private static final double DOUBT = 2; // tries; fewer say nothing of a bad share
     // Levels and cold tasks.
     private static final double ADMIT_FILL = 0.9; // share of capacity; above it queues outgrow the targets
@@ -117,7 +118,7 @@
     private int[] zone = new int[0], costReadings = new int[0];
     private Listing.State[] state = new Listing.State[0];
     private long[] started = new long[0], entered = new long[0];
-    private boolean[] heard = new boolean[0], out = new boolean[0];
+    private boolean[] heard = new boolean[0], out = new boolean[0], dropped = new boolean[0];
     private double[] listed = new double[0], rate = new double[0], busy = new double[0], cost = new double[0];
     private double[] told = new double[0], latency = new double[0];
     private final double[][] bad, tries, zoneRate;
@@ -200,6 +201,7 @@
         entered = Arrays.copyOf(entered, size);
         heard = Arrays.copyOf(heard, size);
         out = Arrays.copyOf(out, size);
+        dropped = Arrays.copyOf(dropped, size);
         listed = Arrays.copyOf(listed, size);
         rate = Arrays.copyOf(rate, size);
         busy = Arrays.copyOf(busy, size);
@@ -242,12 +244,17 @@
 
         private void leave(Listing.State how) {
             state[index] = how;
+            dropped[index] = false;
             post(planner, new Leaving(index));
         }
 
         private void entry(Listing l) {
             zone[index] = l.zone().index();
             listed[index] = l.weight() > 0 ? l.weight() : 1;
+            // A list may call running tasks gone: where that doesn't bind, one stays until tries fail too.
+            // Holds against any wrong or late list; hurts for the tries that show a true loss.
+            dropped[index] = set.droppedStayOpen() && l.state() == Listing.State.GONE && live(index);
+            if (dropped[index]) return;
             if (l.state() != Listing.State.READY) {
                 leave(l.state());
                 return;
@@ -270,6 +277,8 @@
             double old = lastLine[z][index] == 0 ? Double.NaN : zoneRate[z][index];
             zoneRate[z][index] = smooth(old, seen, keep);
             lastLine[z][index] = now;
+            boolean dead = over(bad, index) > DEAD * (over(tries, index) + DOUBT);
+            if (dropped[index] && dead) leave(Listing.State.GONE);
             LoadReport r = e.report();
             busy[index] = smooth(busy[index], r.busyShare(), keep);
             told[index] = smooth(told[index], r.opsPerSecond(), keep);
@@ -702,7 +711,7 @@
             for (int i = 0; i < tasks; i++) {
                 if (!live(i) || warmth(i) < warmEnough) continue;
                 double free = 1 - planned[i] / (capacity[i] * part);
-                weight[i] = listed[i] * warmth(i) * Math.max(ROOM_LEAST, free)
+                weight[i] = listed[i] * warmth(i) * (dropped[i] ? ROOM_LEAST : Math.max(ROOM_LEAST, free))
                         * (zone[i] == p.zoneIndex ? HOME_PULL : 1) * (1.02 - badShare(p.zoneIndex, i));
                 all += weight[i];
             }
