Channel counted by answers, warnings and urgent orders bunched: broken limits kept

Change: answers tell how far the channel is; known tables lose what left by their own lines, withdrawals are for unknown ones and go in bunches; urgent orders of a proxy with many messages are bunched; first tables, levels and mends have shares of the backlog; op types with one level share a line; on a full channel a mend is two lines. Holds against any slow, stalled or torn channel; costs up to 0.6 s of a grace to a proxy with ten messages in 10 s.

--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -69,10 +69,15 @@
     private static final long FOLLOW_RETRY_MOST = 40_000; // 0.1 ms; the list is late by seconds anyway
     private static final double CHANNEL_SLOW = 5; // times; the slowest channel known, and some
     private static final double ROUTINE_LINES = 0.3; // share of the backlog; the rest is for drains
-    private static final double ROUTINE_MESSAGES = 0.5; // share of a proxy's messages; likewise
+    private static final double FIRST_LINES = 0.5; // share of the backlog; first tables and levels can wait
+    private static final double URGENT_LINES = 0.85; // share of the backlog; the rest is the count's error
+    private static final double ROUTINE_MESSAGES = 0.33; // share of a proxy's messages; likewise
+    private static final double LEVEL_MESSAGES = 0.67; // share of any proxy's messages; levels reach all
+    private static final long BUNCH_WAIT = 6_000; // 0.1 ms; well under any grace, over half the even gap
     private static final int SPARE_MESSAGES = 2; // messages; for withdrawals, which nothing holds back
+    private static final int MARKS = 65_000; // numbers; under the wire's most
     private static final long NEVER = Long.MIN_VALUE / 2; // 0.1 ms; before any clock
-    private static final TimerToken TICK = new TimerToken(1); // the one timer
+    private static final TimerToken TICK = new TimerToken(1), WAKE = new TimerToken(2); // the two timers
 
     // ---- Parts and notes: parts talk only through inboxes that one loop empties.
 
@@ -81,6 +86,7 @@
     private record Told(Event event) implements Note { }
     private record Leaving(int task) implements Note { }
     private record Entering(int task) implements Note { }
+    private record Reply(double start, double lines, int messages) { }
     private record Heard(long tries, long bad, double late) implements Note { }
     private abstract class Part {
         private final ArrayDeque<Note> inbox = new ArrayDeque<>();
@@ -105,6 +111,7 @@
     private final long seed;
     private final double target;
     private long draws;
+    private boolean look; // something came that is not looked at in turns alone
     private long now;
     private final Roster roster = new Roster();
     private final Planner planner = new Planner();
@@ -118,7 +125,7 @@
     private int[] zone = new int[0], costReadings = new int[0];
     private Listing.State[] state = new Listing.State[0];
     private long[] started = new long[0], entered = new long[0];
-    private boolean[] heard = new boolean[0], out = new boolean[0], dropped = new boolean[0];
+    private boolean[] out = new boolean[0], dropped = new boolean[0];
     private double[] listed = new double[0], rate = new double[0], busy = new double[0], cost = new double[0];
     private double[] told = new double[0], latency = new double[0];
     private final double[][] bad, tries, zoneRate;
@@ -143,6 +150,8 @@
             proxies.computeIfAbsent(e.proxy().number(), n -> new Proxy(e.proxy()));
         }
         if (event instanceof Event.OfProxy e) part = proxies.get(e.proxy().number());
+        look |= !(event instanceof Event.TaskSums || event instanceof Event.OfProxy)
+                || event instanceof Event.ProxyJoined;
         if (part != null) post(part, new Told(event));
         emptyInboxes();
     }
@@ -156,13 +165,9 @@
 
     /** Chance: a number from 0 to 1, the same for the same seed and count of draws. */
     private double chance() {
-        return crc(ByteBuffer.allocate(16).putLong(seed).putLong(draws++).array()) / 4294967296.0;
-    }
-
-    private static long crc(byte[] bytes) {
         CRC32 crc = new CRC32();
-        crc.update(bytes);
-        return crc.getValue();
+        crc.update(ByteBuffer.allocate(16).putLong(seed).putLong(draws++).flip());
+        return crc.getValue() / 4294967296.0;
     }
 
     private boolean live(int i) { return state[i] == Listing.State.READY; }
@@ -199,7 +204,6 @@
         state = Arrays.copyOf(state, size);
         started = Arrays.copyOf(started, size);
         entered = Arrays.copyOf(entered, size);
-        heard = Arrays.copyOf(heard, size);
         out = Arrays.copyOf(out, size);
         dropped = Arrays.copyOf(dropped, size);
         listed = Arrays.copyOf(listed, size);
@@ -230,7 +234,6 @@
         }
 
         private void forget() {
-            heard[index] = false;
             busy[index] = told[index] = latency[index] = Double.NaN;
             rate[index] = costReadings[index] = 0;
             for (double[][] of : List.of(bad, tries, zoneRate)) for (double[] inZone : of) inZone[index] = 0;
@@ -270,7 +273,6 @@
             double span = Math.max(1, e.span());
             double keep = Math.pow(0.5, span / HALF_LIFE);
             int z = e.from().index();
-            heard[index] = true;
             double seen = e.tries() * Tenths.SECOND / span;
             bad[z][index] = bad[z][index] * keep + e.bad();
             tries[z][index] = tries[z][index] * keep + e.tries();
@@ -296,7 +298,7 @@
         @Override void on(Note note) {
             Event event = ((Told) note).event();
             if (event instanceof Event.ListTold e) list(e);
-            if (event instanceof Event.TimerDue) ticking = false;
+            if (event instanceof Event.TimerDue e && e.token().equals(TICK)) ticking = false;
             if (!following && set.listOnRequest() && now >= nextFollow) {
                 channel.other(new Order.FollowList(true));
                 nextFollow = now + FOLLOW_LOST;
@@ -348,7 +350,6 @@
         private boolean open;
         private final TreeMap<Integer, Integer> swap = new TreeMap<>();
         private final ArrayDeque<Long> messages = new ArrayDeque<>();
-        private final ArrayDeque<Freed> freed = new ArrayDeque<>();
 
         Proxy(ProxyId id) {
             this.id = id;
@@ -364,18 +365,13 @@
             return null;
         }
 
-        boolean names(int i) {
-            Line l = find(i);
-            return l != null && l.has > 0;
-        }
+        boolean names(int i) { return table.stream().anyMatch(l -> l.task == i && l.has > 0); }
 
-        /** Aims a new line at a task; lines stay in the order of their tasks. */
+        /** Aims a line at a task. */
         Line add(int i, double goal) {
-            int at = 0;
-            while (at < table.size() && table.get(at).task < i) at++;
-            if (at == table.size() || table.get(at).task != i) table.add(at, new Line(i));
-            table.get(at).goal = goal;
-            return table.get(at);
+            if (find(i) == null) table.add(new Line(i));
+            find(i).goal = goal;
+            return find(i);
         }
 
         /** Ops a second that the move to the goals brings a line's task; below 0 it takes them away. */
@@ -407,8 +403,7 @@
             } else if (event instanceof Event.ProxyLeft) {
                 joined = false;
                 bound = false;
-                freed.forEach(f -> f.answered = true);
-                freed.clear();
+                for (Freed f : planner.moving) f.answered |= f.proxy == this;
             } else if (event instanceof Event.ProxyOps e) {
                 int k = e.opType().index();
                 double seen = e.ops() * (double) Tenths.SECOND / Math.max(1, e.span());
@@ -417,11 +412,7 @@
                 double sum = IntStream.range(0, opsByType.length).mapToDouble(this::typeOps).sum();
                 ops = Arrays.stream(opsByType).anyMatch(Double::isNaN) ? Math.max(ops, sum) : sum;
             } else if (event instanceof Event.Answered e) {
-                while (!freed.isEmpty()) {
-                    Freed first = freed.poll();
-                    first.answered = true;
-                    if (first.mark == e.mark().number()) break;
-                }
+                channel.answered(this, e.mark().number());
             }
         }
     }
@@ -436,7 +427,8 @@
 
     /** Load that a sent move shifts and that the sums don't show yet. */
     private static final class Freed {
-        private int mark;
+        private Proxy proxy;
+        private double start;
         private long at;
         private final Map<Integer, Double> parts = new TreeMap<>();
         private boolean answered;
@@ -452,15 +444,15 @@
         private final List<Integer> entrants = new ArrayList<>();
         private final Set<Proxy> urgent = new LinkedHashSet<>();
         private final List<Freed> moving = new ArrayList<>();
-        private boolean sumsCame, crowded;
-        private long turnTries, turnBad, lastTurn = NEVER, lastCut = NEVER;
+        private boolean sumsCame, crowded, unwarned;
+        private long lastTurn = NEVER, lastCut = NEVER, lastWarning = NEVER, wakeAt = NEVER;
         private int turns;
         private double[] capacity = new double[0], planned = new double[0];
         private double part = 1, allListed, meanCapacity, meanFill;
-        private double demand, level = 1, trust = 1, turnLate;
+        private double demand, level = 1, trust = 1, turnTries, turnBad, turnLate;
 
         @Override void on(Note note) {
-            if (note instanceof Leaving l) channel.withdraw(l.task(), true);
+            unwarned |= note instanceof Leaving;
             if (note instanceof Entering e) entrants.add(e.task());
             sumsCame |= note instanceof Heard;
             if (note instanceof Heard h) turnBad += h.bad();
@@ -468,51 +460,63 @@
             if (note instanceof Heard h) turnLate += h.late();
         }
 
-        /** Called once at the end of a moment. */
+        /** Called once at the end of a moment. Slices' tables stand as stored. */
         void plan() {
             boolean turn = sumsCame && now - lastTurn >= set.sumsEvery() * 9 / 10;
+            if (set.slices() || !turn && !look) return;
+            look = false;
             if (turn) {
                 settleSums();
                 lastTurn = now;
                 turns++;
             }
             boolean anyOut = IntStream.range(0, tasks).anyMatch(i -> !live(i));
-            boolean warn = false;
+            boolean held = false;
             for (Proxy p : proxies.values()) {
                 // Tables from before a start are left alone until sums came, but what left may be all of one.
                 boolean late = anyOut && now - p.joinedAt > set.emptyLimit() / 2;
-                if (p.joined && (p.bound ? p.broken() : p.fresh || turns >= SETTLE_TURNS || late)) {
-                    urgent.add(p);
-                } else if (p.joined && !p.bound && !p.warned) {
-                    // Its tables may name what left, and withdrawals don't reach later joiners.
-                    p.warned = true;
-                    warn = true;
-                }
+                boolean due = p.bound ? p.broken() : p.fresh || turns >= SETTLE_TURNS || late;
+                if (!p.joined) continue;
+                if (due && channel.roomForUrgent(p)) urgent.add(p);
+                held |= due && !urgent.contains(p);
+                unwarned |= !p.bound && !p.warned && !urgent.contains(p);
+                p.warned |= !urgent.contains(p);
+            }
+            // Unknown tables may name what left, and withdrawals don't reach later joiners: all are told
+            // again in bunches, since each joiner by itself once used up the messages of all proxies.
+            unwarned &= anyOut;
+            if (unwarned && now - lastWarning >= BUNCH_WAIT) {
+                for (int i = 0; i < tasks; i++) if (!live(i)) channel.withdraw(i, true);
+                unwarned = false;
+                lastWarning = now;
+            }
+            if ((held || unwarned) && now >= wakeAt) {
+                wakeAt = now + BUNCH_WAIT;
+                channel.other(new Order.SetTimer(BUNCH_WAIT, WAKE));
             }
-            for (int i = 0; i < tasks && warn; i++) if (!live(i)) channel.withdraw(i, true);
-            urgent.removeIf(p -> !channel.roomForUrgent(p));
-            if (set.slices()) urgent.clear();
-            if (set.slices() || urgent.isEmpty() && !turn) return; // slices' tables stand as stored
+            if (urgent.isEmpty() && !turn) return;
             weighCapacity();
             if (turn) {
                 levels();
                 enter();
             }
-            List<Proxy> known = new ArrayList<>();
             planned = new double[tasks];
+            List<Proxy> known = new ArrayList<>();
+            List<Proxy> anew = new ArrayList<>();
             for (Proxy p : proxies.values()) {
                 if (!p.joined || !p.bound && !urgent.contains(p)) continue;
                 known.add(p);
                 lineUp(p);
+                if (turn || !p.bound || urgent.contains(p) && channel.roomForRoutine(p)) anew.add(p);
                 for (Line l : p.table) planned[l.task] += p.ops * l.goal;
             }
-            weigh(known);
+            weigh(known, anew); // on a full channel a mend is what left and what takes its place
             capCold(known);
-            urgent.removeIf(p -> !channel.roomForUrgent(p));
-            for (Proxy p : known) if (urgent.contains(p)) send(p, 1, new double[tasks]);
-            if (turn) {
-                rounds(known);
-            }
+            known.stream().filter(p -> p.bound && urgent.contains(p) && channel.roomForUrgent(p))
+                    .forEach(p -> send(p, 1, planned));
+            known.stream().filter(p -> !p.bound && channel.roomForUrgent(p))
+                    .forEach(p -> send(p, 1, planned));
+            if (turn) rounds(known);
             urgent.clear();
         }
 
@@ -540,24 +544,17 @@
             }
         }
 
-        /** Ops a second that all proxies bring a task: told by it, or heard here and from peers. */
+        /** Ops a second that all proxies bring a task: told by it, or by our part of the traffic. */
         private double total(int i) {
-            if (!Double.isNaN(told[i])) return Math.max(told[i], rate[i]);
-            return rate[i] / part;
-        }
-
-        /** This assigner's part of all traffic: by what peers say, else by its part of the proxies. */
-        private double share() {
-            if (set.assigners() == 1) return 1;
-            double joined = proxies.values().stream().filter(p -> p.joined).count();
-            return Math.max(0.01, Math.min(1, joined / set.proxies()));
+            return Double.isNaN(told[i]) ? rate[i] / part : Math.max(told[i], rate[i]);
         }
 
         /** Capacity of each task, ops a second: from the cost of its ops, else by listed weight. */
         private void weighCapacity() {
             capacity = new double[tasks];
             demand = proxies.values().stream().mapToDouble(p -> p.joined ? p.ops : 0).sum();
-            part = share();
+            double joined = proxies.values().stream().filter(p -> p.joined).count();
+            part = set.assigners() == 1 ? 1 : Math.max(0.01, Math.min(1, joined / set.proxies()));
             double read = sum(i -> costReadings[i] > 0 ? 1 / cost[i] : 0);
             double readListed = sum(i -> costReadings[i] > 0 ? listed[i] : 0);
             allListed = sum(i -> listed[i]);
@@ -589,9 +586,8 @@
             for (int i = 0; i < tasks; i++) room[i] = most * capacity[i];
             for (Proxy p : smallFirst) {
                 List<Line> cold = p.table.stream().filter(l -> l.goal > 0 && warmth(l.task) < 1).toList();
-                double all;
-                boolean over;
-                do {
+                double all = 0;
+                for (boolean over = true; over;) {
                     over = false;
                     all = p.ops * letIn / Math.max(1e-9, cold.stream().mapToDouble(l -> l.goal).sum());
                     for (Line l : cold) {
@@ -600,7 +596,7 @@
                         l.goal = 0;
                         if (l.has > 0) urgent.add(p);
                     }
-                } while (over);
+                }
                 for (Line l : cold) room[l.task] -= all * l.goal;
             }
         }
@@ -630,10 +626,10 @@
             }
             boolean pressed = level < 1 || fill > PRESSED || trouble > CALM;
             double want = pressed ? Math.min(1, ADMIT_FILL * able * trust * part / demand) : 1;
-            turnBad = turnTries = 0;
-            turnLate = 0;
+            turnBad = turnTries = turnLate = 0;
             want = Math.max(LEVEL_LEAST, want);
-            if (Math.abs(want - level) > LEVEL_STEP * level || want == 1 && level < 1) {
+            boolean change = Math.abs(want - level) > LEVEL_STEP * level || want == 1 && level < 1;
+            if (change && channel.roomForLevels()) {
                 if (want == 1) channel.other(new Order.LogLine("Tasks have time: all ops are let in again."));
                 level = want;
                 channel.admit(level, levelsByType());
@@ -698,7 +694,8 @@
             for (; count < wantedLines; count++) {
                 int i = draw(p, 0);
                 if (i < 0) break;
-                p.add(i, sum > 0 ? Math.max(LINE_LEAST, (1 - sum) / Math.max(1, wantedLines - count))
+                double each = warmth(i) * (1 - sum) / Math.max(1, wantedLines - count);
+                p.add(i, sum > 0 ? Math.max(LINE_LEAST, each)
                         : capacity[i] * (zone[i] == p.zoneIndex ? 1 : AWAY_START));
             }
             normalise(p);
@@ -763,14 +760,14 @@
         private double fill(int i) { return total(i) / Math.max(1e-9, capacity[i]); }
 
         /** Weights of the lines: ops flow to where the next one loses least, crossing zones at its price. */
-        private void weigh(List<Proxy> known) {
+        private void weigh(List<Proxy> known, List<Proxy> anew) {
             double[] load = new double[tasks];
             for (int i = 0; i < tasks; i++) load[i] = Math.max(0, total(i) - rate[i]);
             for (Proxy p : known) for (Line l : p.table) load[l.task] += p.ops * l.goal;
-            for (int round = 0; round < WEIGHING_ROUNDS; round++) {
+            for (int round = 0; round < WEIGHING_ROUNDS && !anew.isEmpty(); round++) {
                 double steep = 1;
                 for (int i = 0; i < tasks; i++) steep = Math.max(steep, LOSS_POWER * lossPrice(load[i], i));
-                for (Proxy p : known) {
+                for (Proxy p : anew) {
                     double mean = 0;
                     for (Line l : p.table) {
                         l.price = lossPrice(load[l.task], l.task) + FAIL_PRICE * badShare(p.zoneIndex, l.task)
@@ -802,7 +799,7 @@
             List<Proxy> moves = new ArrayList<>();
             Map<Integer, List<Proxy>> waiters = new HashMap<>();
             for (Proxy p : known) {
-                if (urgent.contains(p)) continue;
+                if (urgent.contains(p)) continue; // sent already, or it found no room in the channel
                 aimAtRoom(p, room);
                 double change = p.table.stream().mapToDouble(l -> Math.abs(l.goal - l.has) / 2).sum();
                 boolean entry = p.swap.values().stream().anyMatch(to -> !p.names(to) || warmth(to) >= 1);
@@ -857,7 +854,7 @@
                 if (live(i)) room[i] = (capacity[i] * meanFill / FILL - total(i)) * part;
             }
             for (Proxy p : proxies.values()) {
-                for (Line l : p.table) if (p.bound && !heard[l.task]) room[l.task] -= p.ops * l.has * part;
+                for (Line l : p.table) if (p.bound && rate[l.task] <= 0) room[l.task] -= p.ops * l.has * part;
             }
             for (Freed f : moving) {
                 boolean credited = f.answered || now - f.at >= CREDIT_WAIT;
@@ -908,9 +905,9 @@
             if (p.bound && f.parts.isEmpty()) return;
             if (!p.bound) channel.bind(p);
             p.bound = true;
-            f.mark = channel.mark;
+            f.proxy = p;
+            f.start = channel.sent;
             f.at = now;
-            p.freed.add(f);
             moving.add(f);
         }
 
@@ -927,29 +924,49 @@
         private final List<Order> first = new ArrayList<>(), lines = new ArrayList<>();
         private final List<Order> binds = new ArrayList<>(), others = new ArrayList<>();
         private final TreeMap<Integer, Integer> touched = new TreeMap<>();
+        private final Map<Integer, Reply> replies = new HashMap<>();
         private int mark;
-        private long emptyAt;
+        private double sent, passed, pending;
+        private long emptyAt, lastAnswer = NEVER;
 
         void other(Order order) { others.add(order); }
 
+        private void touch(Proxy p, int count) {
+            Integer before = touched.put(p.id.number(), touched.getOrDefault(p.id.number(), 0) + count);
+            pending += count + (before == null ? 1 + set.messageHead() : 0);
+        }
+
+        /** Known tables lose what left by their own lines; a withdrawal is for those that nobody knows. */
         void withdraw(int i, boolean leaves) {
-            if (!leaves && !out[i]) return;
+            if (leaves ? proxies.values().stream().noneMatch(p -> p.joined && !p.bound) : !out[i]) return;
             out[i] = leaves;
             first.add(new Order.Withdraw(task[i].id, leaves));
-            for (Proxy p : proxies.values()) {
-                if (p.joined && (!p.bound || p.names(i))) touched.merge(p.id.number(), 1, Integer::sum);
-            }
+            for (Proxy p : proxies.values()) if (p.joined && (!p.bound || p.names(i))) touch(p, 1);
         }
 
         void line(Proxy p, int i, double weight) {
             lines.add(new Order.SetLine(p.tableId(), task[i].id, weight));
-            if (p.bound) touched.merge(p.id.number(), 1, Integer::sum);
+            if (p.bound) touch(p, 1);
         }
 
         void bind(Proxy p) {
             binds.add(new Order.Bind(p.tableId(), p.id, 0));
-            int count = 3 + (int) p.table.stream().filter(l -> l.has > 0).count();
-            touched.merge(p.id.number(), count, Integer::sum);
+            touch(p, 3 + (int) p.table.stream().filter(l -> l.has > 0).count());
+        }
+
+        /** Answers tell how far the channel is, whatever its pace; without them it counts as slow. */
+        void answered(Proxy p, int number) {
+            Reply r = replies.get(number);
+            if (r == null) return;
+            lastAnswer = now;
+            double next = Math.max(passed, r.start) + r.lines / r.messages;
+            passed = Math.max(passed, Math.min(next, r.start + r.lines));
+            for (Freed f : planner.moving) f.answered |= f.proxy == p && f.start <= r.start;
+        }
+
+        private double queued() {
+            double slowest = Math.max(0, emptyAt - now) * set.linesPerSecond() / CHANNEL_SLOW / Tenths.SECOND;
+            return pending + Math.min(now - lastAnswer < SHOWS_AFTER ? sent : slowest, sent - passed);
         }
 
         private int recent(Proxy p) {
@@ -957,29 +974,35 @@
             return p.messages.size();
         }
 
+        /** What can't wait goes at once, but bunched once a proxy had many messages; new tables can wait. */
         boolean roomForUrgent(Proxy p) {
-            return set.messagesMost() == 0 || recent(p) < set.messagesMost() - SPARE_MESSAGES;
+            if (queued() > (p.bound ? URGENT_LINES : FIRST_LINES) * set.backlogLines()) return false;
+            if (set.messagesMost() == 0 || recent(p) < ROUTINE_MESSAGES * set.messagesMost()) return true;
+            return recent(p) < set.messagesMost() - SPARE_MESSAGES
+                    && now - p.messages.peekLast() >= BUNCH_WAIT;
         }
 
         /** Routine orders leave most of the channel and of a proxy's messages to drains and empty tables. */
         boolean roomForRoutine(Proxy p) {
-            double slowRate = set.linesPerSecond() / CHANNEL_SLOW;
-            double queued = Math.max(0, emptyAt - now) * slowRate / Tenths.SECOND;
-            for (int n : touched.values()) queued += n + set.messageHead();
-            return queued < ROUTINE_LINES * set.backlogLines()
+            return queued() < ROUTINE_LINES * set.backlogLines()
                     && (set.messagesMost() == 0 || recent(p) < ROUTINE_MESSAGES * set.messagesMost());
         }
 
+        boolean roomForLevels() {
+            return queued() < FIRST_LINES * set.backlogLines() && (set.messagesMost() == 0 || proxies.values()
+                    .stream().allMatch(p -> !p.joined || recent(p) < LEVEL_MESSAGES * set.messagesMost()));
+        }
+
         /** Ops are tried again on proof that no try ran, and never when there is too much. */
         void admit(double level, double[] levels) {
             Order.Retry again = level < 1 ? Order.Retry.NEVER : Order.Retry.ON_PROOF;
+            TreeMap<Double, Integer> bits = new TreeMap<>();
             for (int k = 0; k < levels.length; k++) {
                 double value = set.levelKind() == Settings.LevelKind.RATE ? ALL_OPS : levels[k];
-                first.add(new Order.Admit(Order.EVERY_TABLE, 1 << k, again, value));
-            }
-            for (Proxy p : proxies.values()) {
-                if (p.joined) touched.merge(p.id.number(), levels.length, Integer::sum);
+                bits.merge(value, 1 << k, Integer::sum);
             }
+            bits.forEach((value, of) -> first.add(new Order.Admit(Order.EVERY_TABLE, of, again, value)));
+            for (Proxy p : proxies.values()) if (p.joined) touch(p, bits.size());
         }
 
         List<Order> flush() {
@@ -994,14 +1017,14 @@
             }
             if (!touched.isEmpty()) {
                 orders.add(new Order.Mark(new MarkId(mark), false));
-                mark = mark % 65_000 + 1;
-                double lineTime = Tenths.SECOND * CHANNEL_SLOW / set.linesPerSecond();
-                emptyAt = Math.max(emptyAt, now);
-                touched.forEach((number, count) -> {
-                    emptyAt += (long) ((count + 1 + set.messageHead()) * lineTime);
-                    proxies.get(number).messages.add(now);
-                });
+                replies.put(mark, new Reply(sent, pending, touched.size()));
+                mark = mark % MARKS + 1;
+                sent += pending;
+                emptyAt = Math.max(emptyAt, now)
+                        + (long) (pending * Tenths.SECOND * CHANNEL_SLOW / set.linesPerSecond());
+                for (int number : touched.keySet()) proxies.get(number).messages.add(now);
             }
+            pending = 0;
             touched.clear();
             return orders;
         }
