--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -50,6 +50,8 @@
     // Levels and cold tasks.
     private static final double ADMIT_FILL = 0.9; // share of capacity; above it queues outgrow the targets
     private static final double JAM = 0.2; // bad or late share of tries; twice what calm allows
+    private static final double SPREAD = 0.5; // share of capacity; trouble at more of it is a jam's
+    private static final double CALM_SPREAD = 0.25; // share of capacity; trouble at less of it is some tasks'
     private static final double TRUST_CUT = 0.7; // times; a jam clears within a few cuts
     private static final double TRUST_LEAST = 0.4; // times the capacity read; symptoms cut no deeper
     private static final double TRUST_CALM = 0.7; // times; in calm so much comes in again at once
@@ -212,9 +214,7 @@
         cost = Arrays.copyOf(cost, size);
         told = Arrays.copyOf(told, size);
         latency = Arrays.copyOf(latency, size);
-        for (double[][] of : List.of(bad, tries, zoneRate)) {
-            Arrays.setAll(of, z -> Arrays.copyOf(of[z], size));
-        }
+        for (double[][] of : List.of(bad, tries, zoneRate)) Arrays.setAll(of, z -> Arrays.copyOf(of[z], size));
         Arrays.setAll(lastLine, z -> Arrays.copyOf(lastLine[z], size));
     }
 
@@ -448,10 +448,11 @@
         @Override void on(Note note) {
             unwarned |= note instanceof Leaving;
             if (note instanceof Entering e) entrants.add(e.task());
-            sumsCame |= note instanceof Heard;
-            if (note instanceof Heard h) turnBad += h.bad();
-            if (note instanceof Heard h) turnTries += h.tries();
-            if (note instanceof Heard h) turnLate += h.late();
+            if (!(note instanceof Heard h)) return;
+            sumsCame = true;
+            turnBad += h.bad();
+            turnTries += h.tries();
+            turnLate += h.late();
         }
 
         /** Called once at the end of a moment. Slices' tables stand as stored. */
@@ -556,12 +557,9 @@
             double acked = sum(i -> rate[i] * good(i));
             double shown = acked > 0 ? Math.min(demand, acked) : demand;
             for (int i = 0; i < tasks; i++) {
-                if (live(i)) {
-                    double full = costReadings[i] > 0 ? 1 / cost[i]
-                            : read > 0 ? read * listed[i] / readListed
-                            : listed[i] / allListed * Math.max(1, shown / part) / USUAL_FILL;
-                    capacity[i] = full * warmth(i);
-                }
+                double full = costReadings[i] > 0 ? 1 / cost[i] : read > 0 ? read * listed[i] / readListed
+                        : listed[i] / allListed * Math.max(1, shown / part) / USUAL_FILL;
+                capacity[i] = live(i) ? full * warmth(i) : 0;
             }
             double all = sum(i -> capacity[i]);
             meanCapacity = all / Math.max(1, sum(i -> 1));
@@ -599,32 +597,35 @@
         }
 
         /**
-         * Levels: what the tasks can't carry is rejected at once. A jam's work is in vain, tells no capacity:
-         * levels are cut until it clears, whatever its cause, and follow the busy share up again.
+         * What the capacity read can't carry is rejected at once. A jam's work is in vain, it tells nothing:
+         * trust is cut until the jam clears, whatever its cause and whatever tasks report.
          */
         private void levels() {
             if (demand <= 0) return;
-            // Who fails more than the rest counts less for what can be carried: the silent carry nothing.
+            // Who fails more than the rest counts less: the silent carry nothing.
             double meanGood = sum(i -> capacity[i] * good(i)) / Math.max(1e-9, sum(i -> capacity[i]));
             double able = sum(i -> capacity[i] * Math.min(1, good(i) / Math.max(1e-9, meanGood)));
             double reported = sum(i -> busy[i] >= 0 ? capacity[i] : 0);
             double fill = reported > 0 ? sum(i -> busy[i] >= 0 ? capacity[i] * busy[i] : 0) / reported : 0;
             crowded = turnBad > (crowded || level < 1 ? CALM : JAM) * turnTries;
+            // A jam is everywhere; a few tasks that fail all they get are no reason to reject.
+            double spread = sum(i -> 1 - good(i) * (1 - late(latency[i])) > CALM ? capacity[i] : 0)
+                    / Math.max(1e-9, sum(i -> capacity[i]));
             double trouble = (turnBad + turnLate) / Math.max(DOUBT, turnTries);
             double step = TRUST_STEP * set.sumsEvery() / Tenths.SECOND;
-            if (trouble > JAM && now - lastCut > CUT_WAIT) {
+            if (trouble > JAM && spread > SPREAD && now - lastCut > CUT_WAIT) {
                 if (trust == 1) channel.other(new Order.LogLine("Busy tasks fail ops: levels are cut."));
                 lastCut = now;
                 trust = Math.max(TRUST_LEAST, trust * TRUST_CUT);
-            } else if (trouble < CALM && fill < ADMIT_FILL) {
+            } else if (Math.min(trouble, spread * CALM / CALM_SPREAD) < CALM && fill < ADMIT_FILL) {
                 trust = Math.min(level < 1 ? TRUST_MOST : 1, Math.max(TRUST_CALM, trust * (1 + step)));
             } else if (fill > ADMIT_FILL) {
                 trust = Math.max(Math.min(1, trust), trust * (1 - step));
             }
-            boolean pressed = level < 1 || fill > PRESSED || trouble > CALM;
-            double want = pressed ? Math.min(1, ADMIT_FILL * able * trust * part / demand) : 1;
+            boolean pressed = level < 1 || fill > PRESSED || trouble > CALM && spread > SPREAD;
+            double fits = ADMIT_FILL * able * trust * part / demand;
+            double want = pressed ? Math.max(LEVEL_LEAST, Math.min(1, fits)) : 1;
             turnBad = turnTries = turnLate = 0;
-            want = Math.max(LEVEL_LEAST, want);
             boolean change = Math.abs(want - level) > LEVEL_STEP * level || want == 1 && level < 1;
             if (change && channel.roomForLevels()) {
                 if (want == 1) channel.other(new Order.LogLine("Tasks have time: all ops are let in again."));
--- a/src/test/java/stonespring/decision/AssignerTest.java
+++ b/src/test/java/stonespring/decision/AssignerTest.java
@@ -344,6 +344,15 @@
         }
     }
 
+    /** A few tasks that failed all they got once had ops rejected that the rest had time for. */
+    @Test
+    void troubleOfAFewTasksRejectsNothing() {
+        Fleet f = fleet(8, 8);
+        turns(f, 12, 0.07, Map.of());
+        turns(f, 12, 0.07, Map.of("t0", 1.0, "t1", 1.0, "t2", 1.0));
+        assertEquals(1, f.level);
+    }
+
     /** A type that nobody sent once made a level that is no number. */
     @Test
     void anOpTypeThatNobodySendsHasALevel() {
