--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -43,7 +43,7 @@
     private static final long FADE_AFTER = 40_000; // 0.1 ms without a line; sums may come so late
     private static final double USUAL_FILL = 0.6; // share; an ordinary day's, until tasks tell their load
     private static final double BUSY_LEAST = 0.15; // share; under it a report's noise rules the cost
-    private static final double COST_STEP = 0.05; // share; twenty readings even out a tenth of noise
+    private static final double UNIT_KEEP = 0.8; // share; the fleet's mean cost is steady, its loads are not
     private static final double CALM = 0.1; // bad share of tries; above it work is refused or in vain
     private static final double DEAD = 0.8; // bad share of tries; more than tasks in a jam show
     private static final double DOUBT = 2; // tries; fewer say nothing of a bad share
@@ -124,11 +124,11 @@
     private int tasks;
     private final Map<TaskId, Task> taskById = new HashMap<>();
     private Task[] task = new Task[0];
-    private int[] zone = new int[0], costReadings = new int[0];
+    private int[] zone = new int[0];
     private Listing.State[] state = new Listing.State[0];
     private long[] started = new long[0], entered = new long[0];
     private boolean[] out = new boolean[0], dropped = new boolean[0];
-    private double[] listed = new double[0], rate = new double[0], busy = new double[0], cost = new double[0];
+    private double[] listed = new double[0], rate = new double[0], busy = new double[0];
     private double[] told = new double[0], latency = new double[0];
     private final double[][] bad, tries, zoneRate;
     private final long[][] lastLine;
@@ -202,7 +202,6 @@
     private void grow(int size) {
         task = Arrays.copyOf(task, size);
         zone = Arrays.copyOf(zone, size);
-        costReadings = Arrays.copyOf(costReadings, size);
         state = Arrays.copyOf(state, size);
         started = Arrays.copyOf(started, size);
         entered = Arrays.copyOf(entered, size);
@@ -211,10 +210,11 @@
         listed = Arrays.copyOf(listed, size);
         rate = Arrays.copyOf(rate, size);
         busy = Arrays.copyOf(busy, size);
-        cost = Arrays.copyOf(cost, size);
         told = Arrays.copyOf(told, size);
         latency = Arrays.copyOf(latency, size);
-        for (double[][] of : List.of(bad, tries, zoneRate)) Arrays.setAll(of, z -> Arrays.copyOf(of[z], size));
+        for (double[][] all : List.of(bad, tries, zoneRate)) {
+            Arrays.setAll(all, z -> Arrays.copyOf(all[z], size));
+        }
         Arrays.setAll(lastLine, z -> Arrays.copyOf(lastLine[z], size));
     }
 
@@ -235,7 +235,7 @@
 
         private void forget() {
             busy[index] = told[index] = latency[index] = Double.NaN;
-            rate[index] = costReadings[index] = 0;
+            rate[index] = 0;
             for (double[][] of : List.of(bad, tries, zoneRate)) for (double[] inZone : of) inZone[index] = 0;
             for (long[] inZone : lastLine) inZone[index] = 0;
         }
@@ -442,7 +442,7 @@
         private long lastTurn = NEVER, lastCut = NEVER, lastWarning = NEVER, wakeAt = NEVER;
         private int turns;
         private double[] capacity = new double[0], planned = new double[0];
-        private double part = 1, allListed, meanCapacity, meanFill;
+        private double part = 1, unit = Double.NaN, allListed, meanCapacity, meanFill;
         private double demand, level = 1, trust = 1, turnTries, turnBad, turnLate;
 
         @Override void on(Note note) {
@@ -525,39 +525,39 @@
                     if (fades) for (double[][] of : List.of(bad, tries, zoneRate)) of[z][i] *= keep;
                     rate[i] += zoneRate[z][i];
                 }
-                readCost(i);
             }
+            double weight = sum(i -> readable(i) ? busy[i] * listed[i] : 0);
+            if (weight > 0) unit = smooth(unit, sum(i -> readable(i) ? reached(i) : 0) / weight, UNIT_KEEP);
             sumsCame = false;
         }
 
-        /** Busy time that an op costs a warm task, read in calm: in a jam tries are refused or in vain. */
-        private void readCost(int i) {
-            double total = total(i);
-            if (busy[i] > BUSY_LEAST && total > 1 && warmth(i) >= 1 && over(bad, i) < CALM * over(tries, i)) {
-                double step = Math.max(COST_STEP, 1.0 / ++costReadings[i]);
-                cost[i] = smooth(costReadings[i] == 1 ? Double.NaN : cost[i], busy[i] / total, 1 - step);
-            }
+        /** Warm, busy and calm: in a jam tries are refused or in vain, and the slow may report too little. */
+        private boolean readable(int i) {
+            return busy[i] > BUSY_LEAST && reached(i) > 1 && warmth(i) >= 1 && troubled(i) < CALM;
         }
 
-        /** Ops a second that all proxies bring a task: told by it, or by our part of the traffic. */
-        private double total(int i) {
+        /** Ops a second that reach a task: told by it, or by our part of the traffic, right in the mean. */
+        private double reached(int i) {
             return Double.isNaN(told[i]) ? rate[i] / part : Math.max(told[i], rate[i]);
         }
 
+        /** All that reaches a task: what its busy share stands for, and no less than ours. */
+        private double total(int i) {
+            return busy[i] >= 0 && unit > 0 ? Math.max(rate[i], busy[i] * capacity[i]) : reached(i);
+        }
+
         /** Capacity of each task, ops a second: from the cost of its ops, else by listed weight. */
         private void weighCapacity() {
             capacity = new double[tasks];
             demand = proxies.values().stream().mapToDouble(p -> p.joined ? p.ops : 0).sum();
             double joined = proxies.values().stream().filter(p -> p.joined).count();
             part = set.assigners() == 1 ? 1 : Math.max(0.01, Math.min(1, joined / set.proxies()));
-            double read = sum(i -> costReadings[i] > 0 ? 1 / cost[i] : 0);
-            double readListed = sum(i -> costReadings[i] > 0 ? listed[i] : 0);
             allListed = sum(i -> listed[i]);
             // Started in a jam: what clients ask again and again is no measure of what tasks can do.
             double acked = sum(i -> rate[i] * good(i));
             double shown = acked > 0 ? Math.min(demand, acked) : demand;
             for (int i = 0; i < tasks; i++) {
-                double full = costReadings[i] > 0 ? 1 / cost[i] : read > 0 ? read * listed[i] / readListed
+                double full = unit > 0 ? unit * listed[i]
                         : listed[i] / allListed * Math.max(1, shown / part) / USUAL_FILL;
                 capacity[i] = live(i) ? full * warmth(i) : 0;
             }
@@ -609,7 +609,7 @@
             double fill = reported > 0 ? sum(i -> busy[i] >= 0 ? capacity[i] * busy[i] : 0) / reported : 0;
             crowded = turnBad > (crowded || level < 1 ? CALM : JAM) * turnTries;
             // A jam is everywhere; a few tasks that fail all they get are no reason to reject.
-            double spread = sum(i -> 1 - good(i) * (1 - late(latency[i])) > CALM ? capacity[i] : 0)
+            double spread = sum(i -> troubled(i) > CALM ? capacity[i] : 0)
                     / Math.max(1e-9, sum(i -> capacity[i]));
             double trouble = (turnBad + turnLate) / Math.max(DOUBT, turnTries);
             double step = TRUST_STEP * set.sumsEvery() / Tenths.SECOND;
@@ -658,6 +658,8 @@
             return levels;
         }
 
+        private double troubled(int i) { return 1 - good(i) * (1 - late(latency[i])); }
+
         private double good(int i) { return 1 - over(bad, i) / (over(tries, i) + DOUBT); }
 
         private double badShare(int z, int i) { return bad[z][i] / (tries[z][i] + DOUBT); }
--- a/src/test/java/stonespring/decision/AssignerTest.java
+++ b/src/test/java/stonespring/decision/AssignerTest.java
@@ -363,6 +363,24 @@
         assertTrue(f.levels[0] > 0 && f.levels[2] > 0 && f.levels[1] < 1);
     }
 
+    /** Each task's cost was once read from our part of its ops, which is another for every task. */
+    @Test
+    void whatOthersSendShowsInBusyShares() {
+        Fleet f = new Fleet(Fleet.settings(2, Settings.LevelKind.SHARE, 30, 4));
+        for (int i = 0; i < 8; i++) {
+            f.list.put("t" + i, Fleet.listing("t" + i, i % 2, READY, 0));
+            f.othersLoad.put("t" + i, i < 4 ? 16.0 : 4.0);
+        }
+        f.start(7);
+        for (int p = 0; p < 8; p++) {
+            f.join(p, p % 2, 10, true);
+        }
+        f.step(1);
+        turns(f, 30, 0.03, Map.of());
+        double full = f.load("t0") + f.load("t1") + f.load("t2") + f.load("t3");
+        assertTrue(full < 0.45 * 80, full + " of 80 go where others send most");
+    }
+
     /** Chance once left two tasks in no table while the rest ran full. */
     @Test
     void idleTasksComeIntoTables() {
--- a/src/test/java/stonespring/decision/Fleet.java
+++ b/src/test/java/stonespring/decision/Fleet.java
@@ -49,6 +49,7 @@
 
     final Settings settings;
     final TreeMap<String, Listing> list = new TreeMap<>();
+    final TreeMap<String, Double> othersLoad = new TreeMap<>();
     final TreeMap<String, Long> leftAt = new TreeMap<>();
     final TreeMap<Integer, Seen> proxies = new TreeMap<>();
     final TreeMap<Integer, TreeMap<String, Double>> tables = new TreeMap<>();
@@ -150,7 +151,7 @@
         }
         ops.forEach((key, perSecond) -> {
             String task = key.substring(1);
-            double all = ops.getOrDefault("0" + task, 0.0) + ops.getOrDefault("1" + task, 0.0);
+            double all = othersLoad.getOrDefault(task, 0.0) + ops.getOrDefault("0" + task, 0.0) + ops.getOrDefault("1" + task, 0.0);
             long tries = Math.round(perSecond * 10);
             due.add(new Event.TaskSums(new TaskId(task), new ZoneId(key.charAt(0) - '0'), tries,
                     Math.round(tries * badShares.getOrDefault(task, 0.0)), 10 * SECOND, latency,
