--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -43,7 +43,7 @@
     private static final long FADE_AFTER = 40_000; // 0.1 ms without a line; sums may come so late
     private static final double USUAL_FILL = 0.6; // share; an ordinary day's, until tasks tell their load
     private static final double BUSY_LEAST = 0.15; // share; under it a report's noise rules the cost
-    private static final double UNIT_KEEP = 0.8; // share; the fleet's mean cost is steady, its loads are not
+    private static final double UNIT_STEP = 0.03; // share; the fleet's mean cost is steady, its loads are not
     private static final double CALM = 0.1; // bad share of tries; above it work is refused or in vain
     private static final double DEAD = 0.8; // bad share of tries; more than tasks in a jam show
     private static final double DOUBT = 2; // tries; fewer say nothing of a bad share
@@ -395,8 +395,7 @@
                 messages.clear();
                 if (ops <= 0) ops = e.opsPerSecond();
             } else if (event instanceof Event.ProxyLeft) {
-                joined = false;
-                bound = false;
+                joined = bound = false;
                 for (Freed f : planner.moving) f.answered |= f.proxy == this;
             } else if (event instanceof Event.ProxyOps e) {
                 int k = e.opType().index();
@@ -440,7 +439,7 @@
         private final List<Freed> moving = new ArrayList<>();
         private boolean sumsCame, crowded, unwarned;
         private long lastTurn = NEVER, lastCut = NEVER, lastWarning = NEVER, wakeAt = NEVER;
-        private int turns;
+        private int turns, unitReadings;
         private double[] capacity = new double[0], planned = new double[0];
         private double part = 1, unit = Double.NaN, allListed, meanCapacity, meanFill;
         private double demand, level = 1, trust = 1, turnTries, turnBad, turnLate;
@@ -527,7 +526,8 @@
                 }
             }
             double weight = sum(i -> readable(i) ? busy[i] * listed[i] : 0);
-            if (weight > 0) unit = smooth(unit, sum(i -> readable(i) ? reached(i) : 0) / weight, UNIT_KEEP);
+            double step = weight > 0 ? Math.max(UNIT_STEP, 2.0 / (1 + ++unitReadings)) : 0;
+            if (step > 0) unit = smooth(unit, sum(i -> readable(i) ? reached(i) : 0) / weight, 1 - step);
             sumsCame = false;
         }
 
