--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -63,7 +63,8 @@
     private static final double ALL_OPS = 1e6; // ops a second; where levels are rates, all that may come
     private static final double LEVEL_LEAST = 0.05; // share; some ops must show whether tasks work
     private static final double LEVEL_STEP = 0.05; // share; less is not worth a message to every proxy
-    private static final double COLD_CROWDED = 0.5; // share of the fall limit, for all ops of a full table
+    private static final double SHUN = 15; // s; three times what a proxy keeps away: bad tries come in rows
+    private static final double COLD_MOST = 0.5; // share of the fall limit; the rest is for chance and noise
     // Start, list, peers, channel.
     private static final int SETTLE_TURNS = 3; // turns; some rounds of sums before old tables are touched
     private static final long FOLLOW_RETRY = 5_000; // 0.1 ms; first wait to ask again, doubled each time
@@ -89,7 +90,7 @@
     private record Leaving(int task) implements Note { }
     private record Entering(int task) implements Note { }
     private record Reply(double start, double lines, int messages) { }
-    private record Heard(long tries, long bad, double late) implements Note { }
+    private record Heard(long tries, double vain) implements Note { }
     private abstract class Part {
         private final ArrayDeque<Note> inbox = new ArrayDeque<>();
 
@@ -148,9 +149,7 @@
         now = at;
         Part part = roster;
         if (event instanceof Event.TaskSums e) part = taskById.get(e.task());
-        if (event instanceof Event.ProxyJoined e) {
-            proxies.computeIfAbsent(e.proxy().number(), n -> new Proxy(e.proxy()));
-        }
+        if (event instanceof Event.ProxyJoined e) proxies.computeIfAbsent(e.proxy().number(), Proxy::new);
         if (event instanceof Event.OfProxy e) part = proxies.get(e.proxy().number());
         look |= !(event instanceof Event.TaskSums || event instanceof Event.OfProxy)
                 || event instanceof Event.ProxyJoined;
@@ -285,7 +284,7 @@
             busy[index] = smooth(busy[index], r.busyShare(), keep);
             told[index] = smooth(told[index], r.opsPerSecond(), keep);
             if (e.goodLatency() > 0) latency[index] = smooth(latency[index], e.goodLatency(), keep);
-            post(planner, new Heard(e.tries(), e.bad(), (e.tries() - e.bad()) * late(e.goodLatency())));
+            post(planner, new Heard(e.tries(), e.bad() + (e.tries() - e.bad()) * late(e.goodLatency())));
         }
     }
 
@@ -351,8 +350,8 @@
         private final TreeMap<Integer, Integer> swap = new TreeMap<>();
         private final ArrayDeque<Long> messages = new ArrayDeque<>();
 
-        Proxy(ProxyId id) {
-            this.id = id;
+        Proxy(int number) {
+            this.id = new ProxyId(number);
             Arrays.fill(opsByType, Double.NaN);
         }
 
@@ -390,7 +389,7 @@
                 joined = true;
                 bound = false;
                 fresh = e.fresh();
-                warned = e.fresh();
+                warned = false;
                 joinedAt = now;
                 messages.clear();
                 if (ops <= 0) ops = e.opsPerSecond();
@@ -437,27 +436,26 @@
         private final List<Integer> entrants = new ArrayList<>();
         private final Set<Proxy> urgent = new LinkedHashSet<>();
         private final List<Freed> moving = new ArrayList<>();
-        private boolean sumsCame, crowded, unwarned;
+        private boolean sumsCame, unwarned;
         private long lastTurn = NEVER, lastCut = NEVER, lastWarning = NEVER, wakeAt = NEVER;
         private int turns, unitReadings;
         private double[] capacity = new double[0], planned = new double[0];
         private double part = 1, unit = Double.NaN, allListed, meanCapacity, meanFill;
-        private double demand, level = 1, trust = 1, turnTries, turnBad, turnLate;
+        private double demand, level = 1, trust = 1, turnTries, turnVain;
 
         @Override void on(Note note) {
             unwarned |= note instanceof Leaving;
             if (note instanceof Entering e) entrants.add(e.task());
             if (!(note instanceof Heard h)) return;
             sumsCame = true;
-            turnBad += h.bad();
             turnTries += h.tries();
-            turnLate += h.late();
+            turnVain += h.vain();
         }
 
         /** Called once at the end of a moment. Slices' tables stand as stored. */
         void plan() {
             boolean turn = sumsCame && now - lastTurn >= set.sumsEvery() * 9 / 10;
-            if (set.slices() || !turn && !look) return;
+            if (!turn && !look) return;
             look = false;
             if (turn) {
                 settleSums();
@@ -469,11 +467,11 @@
             for (Proxy p : proxies.values()) {
                 // Tables from before a start are left alone until sums came, but what left may be all of one.
                 boolean late = anyOut && now - p.joinedAt > set.emptyLimit() / 2;
-                boolean due = p.bound ? p.broken() : p.fresh || turns >= SETTLE_TURNS || late;
-                if (!p.joined) continue;
+                boolean due = p.joined && !set.slices()
+                        && (p.bound ? p.broken() : p.fresh || turns >= SETTLE_TURNS || late);
                 if (due && channel.roomForUrgent(p)) urgent.add(p);
                 held |= due && !urgent.contains(p);
-                unwarned |= !p.bound && !p.warned && !urgent.contains(p);
+                unwarned |= p.joined && !p.bound && !p.warned && !urgent.contains(p);
                 p.warned |= !urgent.contains(p);
             }
             // Unknown tables may name what left, and withdrawals don't reach later joiners: all are told
@@ -488,12 +486,10 @@
                 wakeAt = now + BUNCH_WAIT;
                 channel.other(new Order.SetTimer(BUNCH_WAIT, WAKE));
             }
-            if (urgent.isEmpty() && !turn) return;
+            if (set.slices() || urgent.isEmpty() && !turn) return;
             weighCapacity();
-            if (turn) {
-                levels();
-                enter();
-            }
+            if (turn) levels();
+            if (turn) enter();
             planned = new double[tasks];
             List<Proxy> known = new ArrayList<>();
             List<Proxy> anew = new ArrayList<>();
@@ -506,9 +502,7 @@
             }
             weigh(known, anew); // on a full channel a mend is what left and what takes its place
             capCold(known);
-            known.stream().filter(p -> p.bound && urgent.contains(p) && channel.roomForUrgent(p))
-                    .forEach(p -> send(p, 1, planned));
-            known.stream().filter(p -> !p.bound && channel.roomForUrgent(p))
+            urgent.stream().sorted(Comparator.comparing(p -> !p.bound)).filter(channel::roomForUrgent)
                     .forEach(p -> send(p, 1, planned));
             if (turn) rounds(known);
             urgent.clear();
@@ -568,34 +562,40 @@
 
         /**
          * A cold task falls over when too much is tried there, what it refuses too. Weights keep its lines
-         * thin, but a proxy that shuns its warm lines sends all to its cold ones, whatever their weight. In a
-         * jam it is named only where that stays small for all proxies together, small proxies first.
+         * thin, but a proxy that shuns its failing lines sends their part to the others. It is named only
+         * where that stays small for all proxies together, small proxies first.
          */
         private void capCold(List<Proxy> known) {
-            if (!crowded) return;
             List<Proxy> smallFirst = new ArrayList<>(known);
             smallFirst.sort(Comparator.comparingDouble(p -> p.ops));
             double[] room = new double[tasks];
             double letIn = set.levelKind() == Settings.LevelKind.SHARE ? level : 1;
-            double most = COLD_CROWDED * set.fallMultiple() * part;
+            double most = COLD_MOST * set.fallMultiple() * part;
             for (int i = 0; i < tasks; i++) room[i] = most * capacity[i];
             for (Proxy p : smallFirst) {
-                List<Line> cold = p.table.stream().filter(l -> l.goal > 0 && warmth(l.task) < 1).toList();
                 double all = 0;
                 for (boolean over = true; over;) {
                     over = false;
-                    all = p.ops * letIn / Math.max(1e-9, cold.stream().mapToDouble(l -> l.goal).sum());
-                    for (Line l : cold) {
-                        if (l.goal <= 0 || all * l.goal <= room[l.task]) continue;
+                    double open = p.table.stream().mapToDouble(l -> l.goal * (1 - shunned(p, l))).sum();
+                    all = p.ops * letIn / Math.max(1e-9, open);
+                    for (Line l : p.table) {
+                        if (l.goal <= 0 || warmth(l.task) >= 1 || all * l.goal <= room[l.task]) continue;
                         over = true;
                         l.goal = 0;
                         if (l.has > 0) urgent.add(p);
                     }
                 }
-                for (Line l : cold) room[l.task] -= all * l.goal;
+                for (Line l : p.table) if (warmth(l.task) < 1) room[l.task] -= all * l.goal;
             }
         }
 
+        /** Share of the time in which a proxy may keep away from a line, after a row of its own bad tries. */
+        private double shunned(Proxy p, Line l) {
+            if (set.shunAfter() == 0 || warmth(l.task) < 1) return 0;
+            double row = Math.pow(badShare(p.zoneIndex, l.task), set.shunAfter());
+            return Math.min(1, SHUN * p.ops * l.goal * row);
+        }
+
         /**
          * What the capacity read can't carry is rejected at once. A jam's work is in vain, it tells nothing:
          * trust is cut until the jam clears, whatever its cause and whatever tasks report.
@@ -607,11 +607,10 @@
             double able = sum(i -> capacity[i] * Math.min(1, good(i) / Math.max(1e-9, meanGood)));
             double reported = sum(i -> busy[i] >= 0 ? capacity[i] : 0);
             double fill = reported > 0 ? sum(i -> busy[i] >= 0 ? capacity[i] * busy[i] : 0) / reported : 0;
-            crowded = turnBad > (crowded || level < 1 ? CALM : JAM) * turnTries;
             // A jam is everywhere; a few tasks that fail all they get are no reason to reject.
             double spread = sum(i -> troubled(i) > CALM ? capacity[i] : 0)
                     / Math.max(1e-9, sum(i -> capacity[i]));
-            double trouble = (turnBad + turnLate) / Math.max(DOUBT, turnTries);
+            double trouble = turnVain / Math.max(DOUBT, turnTries);
             double step = TRUST_STEP * set.sumsEvery() / Tenths.SECOND;
             if (trouble > JAM && spread > SPREAD && now - lastCut > CUT_WAIT) {
                 if (trust == 1) channel.other(new Order.LogLine("Busy tasks fail ops: levels are cut."));
@@ -625,7 +624,7 @@
             boolean pressed = level < 1 || fill > PRESSED || trouble > CALM && spread > SPREAD;
             double fits = ADMIT_FILL * able * trust * part / demand;
             double want = pressed ? Math.max(LEVEL_LEAST, Math.min(1, fits)) : 1;
-            turnBad = turnTries = turnLate = 0;
+            turnTries = turnVain = 0;
             boolean change = Math.abs(want - level) > LEVEL_STEP * level || want == 1 && level < 1;
             if (change && channel.roomForLevels()) {
                 if (want == 1) channel.other(new Order.LogLine("Tasks have time: all ops are let in again."));
@@ -692,7 +691,8 @@
                 if (i >= 0) p.add(i, count++ == 0 ? capacity[i] : 1);
             }
             for (; count < wantedLines; count++) {
-                int i = draw(p, 0);
+                int i = draw(p, turns < SETTLE_TURNS ? 1 : 0); // what a cold task can bear is not known yet
+                if (i < 0 && count == 0) i = draw(p, 0);
                 if (i < 0) break;
                 double each = warmth(i) * (1 - sum) / Math.max(1, wantedLines - count);
                 p.add(i, sum > 0 ? Math.max(LINE_LEAST, each)
@@ -706,7 +706,8 @@
             double[] weight = new double[tasks];
             double all = 0;
             for (int i = 0; i < tasks; i++) {
-                if (!live(i) || warmth(i) < warmEnough) continue;
+                // What is withdrawn from unknown tables and cold comes in as an entrant, once all are known.
+                if (!live(i) || warmth(i) < (out[i] ? 1 : warmEnough)) continue;
                 double free = 1 - planned[i] / (capacity[i] * part);
                 weight[i] = listed[i] * warmth(i) * (dropped[i] ? ROOM_LEAST : Math.max(ROOM_LEAST, free))
                         * (zone[i] == p.zoneIndex ? HOME_PULL : 1) * (1.02 - badShare(p.zoneIndex, i));
--- a/src/main/java/stonespring/model/Settings.java
+++ b/src/main/java/stonespring/model/Settings.java
@@ -7,7 +7,8 @@
                        int backlogLines, int messageHead, int messagesMost, long messagesOver,
                        double linesPerSecond, long emptyLimit, int standingLines, int proxies, long sumsEvery,
                        boolean slices, double crossZonePrice, long coldTime, double coldShare,
-                       double fallMultiple, double worstTypeWeight, boolean droppedStayOpen) {
+                       double fallMultiple, double worstTypeWeight, boolean droppedStayOpen,
+                       int shunAfter) {
     /** How a level is meant. */
     public enum LevelKind { NONE, SHARE, RATE }
 }
--- a/src/main/java/stonespring/simhost/SettingsReader.java
+++ b/src/main/java/stonespring/simhost/SettingsReader.java
@@ -40,7 +40,8 @@
                 number(fleet, "partitionsN", 0) > 0, number(child(facts, "prices"), "crossZone", 0),
                 time(rules, "coldS"),
                 number(rules, "coldShare"), number(rules, "fallMultiple"),
-                number(facts.path("scoringMix"), "worstClass", 0), rules.path("droppedStayOpen").asBoolean(false));
+                number(facts.path("scoringMix"), "worstClass", 0), rules.path("droppedStayOpen").asBoolean(false),
+                (int) number(fleet, "outlierAfter", 0));
     }
 
     ZoneId zone(Message message, int position, String field) {
--- a/src/test/java/stonespring/decision/AssignerTest.java
+++ b/src/test/java/stonespring/decision/AssignerTest.java
@@ -272,6 +272,45 @@
         }
     }
 
+    /** Of several assigners none once let a cold task in until the jam was over, as each has a part of its room. */
+    @Test
+    void entrantsAreUsedWhileProxiesShunLittle() {
+        Fleet f = new Fleet(Fleet.settings(4, Settings.LevelKind.SHARE, 30, 4));
+        for (int i = 0; i < 8; i++) {
+            f.list.put("t" + i, Fleet.listing("t" + i, i % 2, READY, 0));
+        }
+        f.start(7);
+        for (int p = 0; p < 4; p++) {
+            f.join(p, p % 2, 10, true);
+        }
+        f.step(1);
+        turns(f, 10, 0.04, Map.of());
+        Map<String, Double> bad = new TreeMap<>();
+        f.list.keySet().forEach(t -> bad.put(t, 0.22));
+        for (int i = 0; i < 8; i++) {
+            f.listed("cold" + i, i % 2, READY, f.now);
+        }
+        turns(f, 5, 0.04, bad);
+        assertTrue(f.list.keySet().stream().anyMatch(t -> t.startsWith("cold") && f.load(t) > 0));
+    }
+
+    /** A started assigner knows no load; its new tables once named cold tasks that old ones named too. */
+    @Test
+    void aStartedAssignerNamesNoColdTask() {
+        Fleet f = new Fleet(Fleet.settings(1, Settings.LevelKind.SHARE, 30, 4));
+        for (int i = 0; i < 12; i++) {
+            f.list.put("t" + i, Fleet.listing("t" + i, i % 2, READY, i < 6 ? 0 : f.now - 100));
+        }
+        f.start(7);
+        for (int p = 0; p < 8; p++) {
+            f.join(p, p % 2, 10, true);
+        }
+        f.step(1);
+        for (int i = 6; i < 12; i++) {
+            assertEquals(0, f.load("t" + i));
+        }
+    }
+
     /** A few tasks can't carry what a large proxy brings, whatever the weights of their lines. */
     @Test
     void aLargeProxysTableGrows() {
--- a/src/test/java/stonespring/decision/Fleet.java
+++ b/src/test/java/stonespring/decision/Fleet.java
@@ -86,7 +86,7 @@
                 new OpType(OpType.Repeat.DEDUPLICATED, SECOND, 3),
                 new OpType(OpType.Repeat.ONCE_ONLY, SECOND, 2)),
                 asks, levels, backlog, 10, messagesMost, 10 * SECOND, pace, 5 * SECOND, standing, 8, SECOND, false, 0.1,
-                10 * SECOND, 0.2, 3, 0.1, droppedStayOpen);
+                10 * SECOND, 0.2, 3, 0.1, droppedStayOpen, 3);
     }
 
     void start(long seed) {
