--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -54,6 +54,7 @@
     private static final double CALM_SPREAD = 0.25; // share of capacity; trouble at less of it is some tasks'
     private static final double TRUST_CUT = 0.7; // times; a jam clears within a few cuts
     private static final double TRUST_LEAST = 0.4; // times the capacity read; symptoms cut no deeper
+    private static final double TRUST_DOUBT = 0.5; // times; no deeper while tasks say that they have time
     private static final double TRUST_CALM = 0.7; // times; in calm so much comes in again at once
     private static final double TRUST_MOST = 2; // times; costs may be read so much too high
     private static final double TRUST_STEP = 0.04; // share a second; a step shows before the third follows
@@ -356,7 +357,6 @@
         }
 
         double typeOps(int k) { return Double.isNaN(opsByType[k]) ? 0 : opsByType[k]; }
-        TableId tableId() { return new TableId(id.number()); }
 
         /** The table's line for a task, named or aimed at; null if it has none. */
         Line find(int i) {
@@ -604,7 +604,7 @@
             if (demand <= 0) return;
             // Who fails more than the rest counts less: the silent carry nothing.
             double meanGood = sum(i -> capacity[i] * good(i)) / Math.max(1e-9, sum(i -> capacity[i]));
-            double able = sum(i -> capacity[i] * Math.min(1, good(i) / Math.max(1e-9, meanGood)));
+            double able = part / demand * sum(i -> capacity[i] * Math.min(1, good(i) / Math.max(1e-9, meanGood)));
             double reported = sum(i -> busy[i] >= 0 ? capacity[i] : 0);
             double fill = reported > 0 ? sum(i -> busy[i] >= 0 ? capacity[i] * busy[i] : 0) / reported : 0;
             // A jam is everywhere; a few tasks that fail all they get are no reason to reject.
@@ -614,18 +614,18 @@
             double step = TRUST_STEP * set.sumsEvery() / Tenths.SECOND;
             if (trouble > JAM && spread > SPREAD && now - lastCut > CUT_WAIT) {
                 if (trust == 1) channel.other(new Order.LogLine("Busy tasks fail ops: levels are cut."));
+                double least = fill > PRESSED ? TRUST_LEAST : Math.min(trust, TRUST_DOUBT);
+                trust = Math.max(least, trust * TRUST_CUT);
                 lastCut = now;
-                trust = Math.max(TRUST_LEAST, trust * TRUST_CUT);
             } else if (Math.min(trouble, spread * CALM / CALM_SPREAD) < CALM && fill < ADMIT_FILL) {
                 trust = Math.min(level < 1 ? TRUST_MOST : 1, Math.max(TRUST_CALM, trust * (1 + step)));
             } else if (fill > ADMIT_FILL) {
                 trust = Math.max(Math.min(1, trust), trust * (1 - step));
             }
             boolean pressed = level < 1 || fill > PRESSED || trouble > CALM && spread > SPREAD;
-            double fits = ADMIT_FILL * able * trust * part / demand;
-            double want = pressed ? Math.max(LEVEL_LEAST, Math.min(1, fits)) : 1;
+            double want = Math.max(LEVEL_LEAST, Math.min(1, pressed ? ADMIT_FILL * able * trust : 1));
             turnTries = turnVain = 0;
-            boolean change = Math.abs(want - level) > LEVEL_STEP * level || want == 1 && level < 1;
+            boolean change = want == 1 ? level < 1 : Math.abs(want - level) > LEVEL_STEP * level;
             if (change && channel.roomForLevels()) {
                 if (want == 1) channel.other(new Order.LogLine("Tasks have time: all ops are let in again."));
                 level = want;
@@ -947,12 +947,12 @@
         }
 
         void line(Proxy p, int i, double weight) {
-            lines.add(new Order.SetLine(p.tableId(), task[i].id, weight));
+            lines.add(new Order.SetLine(new TableId(p.id.number()), task[i].id, weight));
             if (p.bound) touch(p, 1);
         }
 
         void bind(Proxy p) {
-            binds.add(new Order.Bind(p.tableId(), p.id, 0));
+            binds.add(new Order.Bind(new TableId(p.id.number()), p.id, 0));
             touch(p, 3 + (int) p.table.stream().filter(l -> l.has > 0).count());
         }
 
--- a/src/test/java/stonespring/decision/AssignerTest.java
+++ b/src/test/java/stonespring/decision/AssignerTest.java
@@ -383,6 +383,23 @@
         }
     }
 
+    /** While tasks say that they have time, failures alone reject no more than half of what they can carry. */
+    @Test
+    void failuresOfIdleTasksRejectLess() {
+        Map<String, Double> bad = new TreeMap<>();
+        double[] least = {1, 1};
+        for (int busy = 0; busy < 2; busy++) {
+            Fleet f = fleet(8, 8);
+            turns(f, 12, 0.07, Map.of());
+            f.list.keySet().forEach(t -> bad.put(t, 0.5));
+            for (int i = 0; i < 12; i++) {
+                turns(f, 1, busy == 1 ? 0.2 : 0.05, bad);
+                least[busy] = Math.min(least[busy], (f.levels[0] + f.levels[1] + f.levels[2]) / 3);
+            }
+        }
+        assertTrue(least[0] > 1.15 * least[1], least[0] + " with time, " + least[1] + " without");
+    }
+
     /** A few tasks that failed all they got once had ops rejected that the rest had time for. */
     @Test
     void troubleOfAFewTasksRejectsNothing() {
