--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -36,6 +36,7 @@
     // The weights of lines.
     private static final int WEIGHING_ROUNDS = 40; // rounds; weights move under a percent after that
     private static final double LOSS_POWER = 6; // power of fill; few ops are lost at half, half when full
+    private static final double STEEP_LEAST = 30; // slope; sums are old, others move too: no haste
     private static final double FILL_MOST = 1.2; // share; fuller is lost alike, and prices stay in bounds
     private static final double FAIL_PRICE = 1.5; // ops; a failed try loses its op and the time it took
     // What is heard.
@@ -412,7 +413,7 @@
     /** One line of a table: the weight that it has and the one that it shall have. */
     private static final class Line {
         private final int task;
-        private double has, goal, price;
+        private double has, goal, price, steep;
 
         Line(int task) { this.task = task; }
     }
@@ -604,7 +605,7 @@
             if (demand <= 0) return;
             // Who fails more than the rest counts less: the silent carry nothing.
             double meanGood = sum(i -> capacity[i] * good(i)) / Math.max(1e-9, sum(i -> capacity[i]));
-            double able = part / demand * sum(i -> capacity[i] * Math.min(1, good(i) / Math.max(1e-9, meanGood)));
+            double able = part / demand * sum(i -> capacity[i] * Math.min(1, good(i) / (meanGood + 1e-9)));
             double reported = sum(i -> busy[i] >= 0 ? capacity[i] : 0);
             double fill = reported > 0 ? sum(i -> busy[i] >= 0 ? capacity[i] * busy[i] : 0) / reported : 0;
             // A jam is everywhere; a few tasks that fail all they get are no reason to reject.
@@ -766,19 +767,18 @@
             for (int i = 0; i < tasks; i++) load[i] = Math.max(0, total(i) - rate[i]);
             for (Proxy p : known) for (Line l : p.table) load[l.task] += p.ops * l.goal;
             for (int round = 0; round < WEIGHING_ROUNDS && !anew.isEmpty(); round++) {
-                double steep = 1;
-                for (int i = 0; i < tasks; i++) steep = Math.max(steep, LOSS_POWER * lossPrice(load[i], i));
                 for (Proxy p : anew) {
                     double mean = 0;
                     for (Line l : p.table) {
-                        l.price = lossPrice(load[l.task], l.task) + FAIL_PRICE * badShare(p.zoneIndex, l.task)
-                                + late(latency[l.task])
+                        double loss = lossPrice(load[l.task], l.task);
+                        l.steep = Math.max(STEEP_LEAST, LOSS_POWER * loss);
+                        l.price = loss + FAIL_PRICE * badShare(p.zoneIndex, l.task) + late(latency[l.task])
                                 + (zone[l.task] == p.zoneIndex ? 0 : set.crossZonePrice());
                         mean += l.goal * l.price;
                         load[l.task] -= p.ops * l.goal;
                     }
                     for (Line l : p.table) {
-                        double by = Math.exp((mean - l.price) / 2 / steep);
+                        double by = Math.exp((mean - l.price) / 2 / l.steep);
                         if (l.goal > 0) l.goal = Math.max(LINE_LEAST, l.goal * by);
                     }
                     normalise(p);
--- a/src/test/java/stonespring/decision/AssignerTest.java
+++ b/src/test/java/stonespring/decision/AssignerTest.java
@@ -437,6 +437,23 @@
         assertTrue(full < 0.45 * 80, full + " of 80 go where others send most");
     }
 
+    /** One task far over its capacity once slowed the balance of all others in a large fleet. */
+    @Test
+    void oneFullTaskDoesNotHoldUpTheRest() {
+        Fleet f = fleet(20, 0);
+        f.othersLoad.put("t0", 60.0);
+        for (int p = 0; p < 20; p++) {
+            f.join(p, 0, 15, true);
+        }
+        f.step(1);
+        turns(f, 6, 0.03, Map.of());
+        double away = 0;
+        for (int i = 1; i < 20; i += 2) {
+            away += f.load("t" + i);
+        }
+        assertTrue(away > 125, "away " + away);
+    }
+
     /** Chance once left two tasks in no table while the rest ran full. */
     @Test
     void idleTasksComeIntoTables() {
