Levels follow the list between turns: no cold task falls when drains meet late sums

No sums came for four seconds while a third batch drained; all ops were let in, full tasks rejected, proxies tried again on proof at the cold ones. Change: what the tasks listed can't carry by the capacity read is rejected at once, in the reply that mends the tables, and nothing is tried again then; trust moves in turns alone.

--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -489,7 +489,7 @@
             }
             if (set.slices() || urgent.isEmpty() && !turn) return;
             weighCapacity();
-            if (turn) levels();
+            levels(turn);
             if (turn) enter();
             planned = new double[tasks];
             List<Proxy> known = new ArrayList<>();
@@ -598,10 +598,10 @@
         }
 
         /**
-         * What the capacity read can't carry is rejected at once. A jam's work is in vain, it tells nothing:
-         * trust is cut until the jam clears, whatever its cause and whatever tasks report.
+         * What the tasks listed can't carry is rejected at once, also when the list says so before sums do. A
+         * jam's work is in vain, it tells nothing of capacity: trust is cut until it clears, whatever it is.
          */
-        private void levels() {
+        private void levels(boolean turn) {
             if (demand <= 0) return;
             // Who fails more than the rest counts less: the silent carry nothing.
             double meanGood = sum(i -> capacity[i] * good(i)) / Math.max(1e-9, sum(i -> capacity[i]));
@@ -613,19 +613,19 @@
                     / Math.max(1e-9, sum(i -> capacity[i]));
             double trouble = turnVain / Math.max(DOUBT, turnTries);
             double step = TRUST_STEP * set.sumsEvery() / Tenths.SECOND;
-            if (trouble > JAM && spread > SPREAD && now - lastCut > CUT_WAIT) {
+            if (turn && trouble > JAM && spread > SPREAD && now - lastCut > CUT_WAIT) {
                 if (trust == 1) channel.other(new Order.LogLine("Busy tasks fail ops: levels are cut."));
                 double least = fill > PRESSED ? TRUST_LEAST : Math.min(trust, TRUST_DOUBT);
                 trust = Math.max(least, trust * TRUST_CUT);
                 lastCut = now;
-            } else if (Math.min(trouble, spread * CALM / CALM_SPREAD) < CALM && fill < ADMIT_FILL) {
+            } else if (turn && (trouble < CALM || spread < CALM_SPREAD) && fill < ADMIT_FILL) {
                 trust = Math.min(level < 1 ? TRUST_MOST : 1, Math.max(TRUST_CALM, trust * (1 + step)));
-            } else if (fill > ADMIT_FILL) {
+            } else if (turn && fill > ADMIT_FILL) {
                 trust = Math.max(Math.min(1, trust), trust * (1 - step));
             }
-            boolean pressed = level < 1 || fill > PRESSED || trouble > CALM && spread > SPREAD;
+            boolean pressed = level < 1 || able < 1 || fill > PRESSED || trouble > CALM && spread > SPREAD;
             double want = Math.max(LEVEL_LEAST, Math.min(1, pressed ? ADMIT_FILL * able * trust : 1));
-            turnTries = turnVain = 0;
+            if (turn) turnTries = turnVain = 0;
             boolean change = want == 1 ? level < 1 : Math.abs(want - level) > LEVEL_STEP * level;
             if (change && channel.roomForLevels()) {
                 if (want == 1) channel.other(new Order.LogLine("Tasks have time: all ops are let in again."));
