--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -45,7 +45,7 @@
     private static final double USUAL_FILL = 0.6; // share; an ordinary day's, until tasks tell their load
     private static final double BUSY_LEAST = 0.15; // share; under it a report's noise rules the cost
     private static final double UNIT_STEP = 0.03; // share; the fleet's mean cost is steady, its loads are not
-    private static final double CALM = 0.1; // bad share of tries; above it work is refused or in vain
+    private static final double CALM = 0.15; // share of tries in vain; some answers are always late
     private static final double DEAD = 0.8; // bad share of tries; more than tasks in a jam show
     private static final double DOUBT = 2; // tries; fewer say nothing of a bad share
     // Levels and cold tasks.
