--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -258,9 +258,8 @@
             // A list may call running tasks gone: where that doesn't bind, one stays until tries fail too.
             // Holds against any wrong or late list; hurts for the tries that show a true loss.
             dropped[index] = set.droppedStayOpen() && l.state() == Listing.State.GONE && live(index);
-            if (dropped[index]) return;
             if (l.state() != Listing.State.READY) {
-                leave(l.state());
+                if (!dropped[index]) leave(l.state());
                 return;
             }
             boolean again = l.startedAt() > started[index];
@@ -317,10 +316,8 @@
                 followWait = Math.min(FOLLOW_RETRY_MOST, 2 * followWait);
                 return;
             }
-            if (e.kind() != Event.ListKind.LAST_SEEN) {
-                following = true;
-                followWait = FOLLOW_RETRY;
-            }
+            following |= e.kind() != Event.ListKind.LAST_SEEN;
+            if (following) followWait = FOLLOW_RETRY;
             boolean[] seen = new boolean[tasks + e.entries().size()];
             for (Listing l : e.entries()) {
                 Task t = taskById.computeIfAbsent(l.task(), Task::new);
@@ -343,8 +340,9 @@
         private int zoneIndex;
         private boolean joined, bound, fresh, warned;
         private long joinedAt;
-        private double ops;
+        private double ops, arriving;
         private final double[] opsByType = new double[set.opTypes().size()];
+        private final double[] latest = new double[set.opTypes().size()];
         private final List<Line> table = new ArrayList<>();
         private double potential;
         private int waited;
@@ -360,10 +358,7 @@
         double typeOps(int k) { return Double.isNaN(opsByType[k]) ? 0 : opsByType[k]; }
 
         /** The table's line for a task, named or aimed at; null if it has none. */
-        Line find(int i) {
-            for (Line l : table) if (l.task == i) return l;
-            return null;
-        }
+        Line find(int i) { return table.stream().filter(l -> l.task == i).findFirst().orElse(null); }
 
         boolean names(int i) { return table.stream().anyMatch(l -> l.task == i && l.has > 0); }
 
@@ -394,6 +389,7 @@
                 joinedAt = now;
                 messages.clear();
                 if (ops <= 0) ops = e.opsPerSecond();
+                arriving = ops;
             } else if (event instanceof Event.ProxyLeft) {
                 joined = bound = false;
                 for (Freed f : planner.moving) f.answered |= f.proxy == this;
@@ -401,9 +397,12 @@
                 int k = e.opType().index();
                 double seen = e.ops() * (double) Tenths.SECOND / Math.max(1, e.span());
                 double keep = Math.pow(0.5, (double) e.span() / HALF_LIFE);
+                latest[k] = seen;
                 opsByType[k] = smooth(opsByType[k], seen, keep);
                 double sum = IntStream.range(0, opsByType.length).mapToDouble(this::typeOps).sum();
-                ops = Arrays.stream(opsByType).anyMatch(Double::isNaN) ? Math.max(ops, sum) : sum;
+                boolean all = Arrays.stream(opsByType).noneMatch(Double::isNaN);
+                ops = all ? sum : Math.max(ops, sum);
+                arriving = all ? Arrays.stream(latest).sum() : ops;
             } else if (event instanceof Event.Answered e) {
                 channel.answered(this, e.mark().number());
             }
@@ -544,7 +543,8 @@
         /** Capacity of each task, ops a second: from the cost of its ops, else by listed weight. */
         private void weighCapacity() {
             capacity = new double[tasks];
-            demand = proxies.values().stream().mapToDouble(p -> p.joined ? p.ops : 0).sum();
+            // Of all proxies the last report is steady enough, and it shows a surge seconds sooner.
+            demand = proxies.values().stream().mapToDouble(p -> p.joined ? p.arriving : 0).sum();
             double joined = proxies.values().stream().filter(p -> p.joined).count();
             part = set.assigners() == 1 ? 1 : Math.max(0.01, Math.min(1, joined / set.proxies()));
             allListed = sum(i -> listed[i]);
--- a/src/test/java/stonespring/decision/AssignerTest.java
+++ b/src/test/java/stonespring/decision/AssignerTest.java
@@ -395,6 +395,17 @@
         assertTrue(f.level < 0.9 && f.retry.get(0) == Order.Retry.NEVER, "level " + f.level);
     }
 
+    /** A surge was once smoothed away for seconds while all that came was let in. */
+    @Test
+    void aSurgeIsSeenInItsFirstSums() {
+        Fleet f = fleet(8, 8);
+        turns(f, 12, 0.08, Map.of());
+        f.surge = 3;
+        f.opsSpan = SECOND;
+        turns(f, 1, 0.08, Map.of());
+        assertTrue(f.level < 0.6, "level " + f.level);
+    }
+
     /** While tasks say that they have time, failures alone reject no more than half of what they can carry. */
     @Test
     void failuresOfIdleTasksRejectLess() {
--- a/src/test/java/stonespring/decision/Fleet.java
+++ b/src/test/java/stonespring/decision/Fleet.java
@@ -60,6 +60,8 @@
     int typesSent = 3;
     double level = 1;
     long latency = 1000;
+    long opsSpan = 10 * SECOND;
+    double surge = 1;
     final double[] levels = {1, 1, 1};
     long now = 100 * SECOND;
     final TreeMap<Long, Long> timers = new TreeMap<>();
@@ -145,8 +147,8 @@
             }
             lines(p).forEach((task, w) -> ops.merge(p.zone + task, p.ops * w, Double::sum));
             for (int k = 0; k < typesSent; k++) {
-                due.add(new Event.ProxyOps(new ProxyId(p.number), new OpTypeId(k), Math.round(p.ops * 10 / 3), 0,
-                        10 * SECOND));
+                long came = Math.round(surge * p.ops * opsSpan / SECOND / 3);
+                due.add(new Event.ProxyOps(new ProxyId(p.number), new OpTypeId(k), came, 0, opsSpan));
             }
         }
         ops.forEach((key, perSecond) -> {
