--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -282,7 +282,7 @@
             boolean dead = over(bad, index) > DEAD * (over(tries, index) + DOUBT);
             if (dropped[index] && dead) leave(Listing.State.GONE);
             LoadReport r = e.report();
-            busy[index] = smooth(busy[index], r.busyShare(), keep);
+            busy[index] = smooth(busy[index], r.busyShare(), keep * keep); // a mean already, and older
             told[index] = smooth(told[index], r.opsPerSecond(), keep);
             if (e.goodLatency() > 0) latency[index] = smooth(latency[index], e.goodLatency(), keep);
             post(planner, new Heard(e.tries(), e.bad() + (e.tries() - e.bad()) * late(e.goodLatency())));
