Between turns a mend weighs nothing anew: no cold task jumps on old sums

A mend is now what left and what takes its place, fewer lines too; turns weigh. Holds against any stale sums; hurts until the next turn where much capacity went at once.

--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -497,10 +497,10 @@
                 if (!p.joined || !p.bound && !urgent.contains(p)) continue;
                 known.add(p);
                 lineUp(p);
-                if (turn || !p.bound || urgent.contains(p) && channel.roomForRoutine(p)) anew.add(p);
+                if (turn || !p.bound) anew.add(p);
                 for (Line l : p.table) planned[l.task] += p.ops * l.goal;
             }
-            weigh(known, anew); // on a full channel a mend is what left and what takes its place
+            weigh(known, anew); // a mend between turns is what left and what takes its place: sums are old
             capCold(known);
             urgent.stream().sorted(Comparator.comparing(p -> !p.bound)).filter(channel::roomForUrgent)
                     .forEach(p -> send(p, 1, planned));
--- a/src/test/java/stonespring/decision/AssignerTest.java
+++ b/src/test/java/stonespring/decision/AssignerTest.java
@@ -407,6 +407,18 @@
         assertTrue(level < 0.5, "level " + level);
     }
 
+    /** A mend between turns once weighed its table anew by old sums and put a third of it on a cold task. */
+    @Test
+    void aMendBetweenTurnsIsWhatLeftAndWhatTakesItsPlace() {
+        Fleet f = withLargeProxy(12, 8, 60, 5);
+        f.step(1);
+        turns(f, 1, 0.08, Map.of());
+        f.listed("t0", 0, Listing.State.DRAINING, 0);
+        long naming = f.proxies.values().stream().filter(p -> f.lines(p).containsKey("t0")).count();
+        f.step(10);
+        assertTrue(naming > 0 && of(f, Order.SetLine.class).size() <= 4 * naming, naming + " tables");
+    }
+
     /** While tasks say that they have time, failures alone reject no more than half of what they can carry. */
     @Test
     void failuresOfIdleTasksRejectLess() {
