--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -36,7 +36,8 @@
     // The weights of lines.
     private static final int WEIGHING_ROUNDS = 40; // rounds; weights move under a percent after that
     private static final double LOSS_POWER = 6; // power of fill; few ops are lost at half, half when full
-    private static final double STEEP_LEAST = 30; // slope; sums are old, others move too: no haste
+    private static final double STEEP_LEAST = 30; // slope; sums are old, others move too
+    private static final int SURE_READINGS = 20; // turns; the first reports show less load than there is
     private static final double FILL_MOST = 1.2; // share; fuller is lost alike, and prices stay in bounds
     private static final double FAIL_PRICE = 1.5; // ops; a failed try loses its op and the time it took
     // What is heard.
@@ -562,9 +563,8 @@
         }
 
         /**
-         * A cold task falls over when too much is tried there, what it refuses too. Weights keep its lines
-         * thin, but a proxy that shuns its failing lines sends their part to the others. It is named only
-         * where that stays small for all proxies together, small proxies first.
+         * A cold task falls over when too much is tried there, and a proxy that shuns its failing lines sends
+         * their part to the others: named only where that stays small for all together, small ones first.
          */
         private void capCold(List<Proxy> known) {
             List<Proxy> smallFirst = new ArrayList<>(known);
@@ -608,7 +608,6 @@
             double able = part / demand * sum(i -> capacity[i] * Math.min(1, good(i) / (meanGood + 1e-9)));
             double reported = sum(i -> busy[i] >= 0 ? capacity[i] : 0);
             double fill = reported > 0 ? sum(i -> busy[i] >= 0 ? capacity[i] * busy[i] : 0) / reported : 0;
-            // A jam is everywhere; a few tasks that fail all they get are no reason to reject.
             double spread = sum(i -> troubled(i) > CALM ? capacity[i] : 0)
                     / Math.max(1e-9, sum(i -> capacity[i]));
             double trouble = turnVain / Math.max(DOUBT, turnTries);
@@ -676,8 +675,7 @@
                 Line from = p.find(e.getKey());
                 int to = e.getValue();
                 double most = from.goal * Math.min(1, capacity[to] / Math.max(1e-9, capacity[from.task]));
-                double had = p.names(to) ? p.find(to).goal : 0;
-                Line line = p.add(to, Math.max(had, Math.max(LINE_LEAST, most)));
+                Line line = p.add(to, Math.max(most, p.names(to) ? p.find(to).goal : LINE_LEAST));
                 if (warmth(to) >= 1) {
                     line.goal = Math.max(line.goal, from.goal);
                     from.goal = 0;
@@ -766,12 +764,14 @@
             double[] load = new double[tasks];
             for (int i = 0; i < tasks; i++) load[i] = Math.max(0, total(i) - rate[i]);
             for (Proxy p : known) for (Line l : p.table) load[l.task] += p.ops * l.goal;
+            // Quick in a calm that is known; before that, and near full, all would run for the same room.
+            double calm = unitReadings < SURE_READINGS ? 1 : Math.min(1, Math.pow(meanFill / USUAL_FILL, 4));
             for (int round = 0; round < WEIGHING_ROUNDS && !anew.isEmpty(); round++) {
                 for (Proxy p : anew) {
                     double mean = 0;
                     for (Line l : p.table) {
                         double loss = lossPrice(load[l.task], l.task);
-                        l.steep = Math.max(STEEP_LEAST, LOSS_POWER * loss);
+                        l.steep = Math.max(1, Math.max(STEEP_LEAST * calm, LOSS_POWER * loss));
                         l.price = loss + FAIL_PRICE * badShare(p.zoneIndex, l.task) + late(latency[l.task])
                                 + (zone[l.task] == p.zoneIndex ? 0 : set.crossZonePrice());
                         mean += l.goal * l.price;
--- a/src/test/java/stonespring/decision/AssignerTest.java
+++ b/src/test/java/stonespring/decision/AssignerTest.java
@@ -490,6 +490,17 @@
         assertTrue(away > 125, "away " + away);
     }
 
+    /** With weights that move slowly at all times ops crossed zones on quiet days that had room at home. */
+    @Test
+    void inAKnownCalmOpsComeHome() {
+        Fleet f = fleet(12, 8);
+        turns(f, 60, 0.03, Map.of());
+        double away = f.proxies.values().stream().mapToDouble(p -> f.lines(p).entrySet().stream()
+                .filter(e -> f.list.get(e.getKey()).zone().index() != p.zone)
+                .mapToDouble(e -> p.ops * e.getValue()).sum()).sum();
+        assertTrue(away < 3, away + " of 80 ops cross zones");
+    }
+
     /** Chance once left two tasks in no table while the rest ran full. */
     @Test
     void idleTasksComeIntoTables() {
