--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -70,15 +70,13 @@
     private static final double COLD_MOST = 0.5; // share of the fall limit; the rest is for chance and noise
     // Start, list, peers, channel.
     private static final int SETTLE_TURNS = 3; // turns; some rounds of sums before old tables are touched
-    private static final long FOLLOW_RETRY = 5_000; // 0.1 ms; first wait to ask again, doubled each time
+    private static final long FOLLOW_RETRY = 5_000; // 0.1 ms; first wait to ask again, doubled thrice
     private static final long FOLLOW_LOST = 90_000; // 0.1 ms; an answer, good or bad, comes well before
-    private static final long FOLLOW_RETRY_MOST = 40_000; // 0.1 ms; the list is late by seconds anyway
     private static final double CHANNEL_SLOW = 5; // times; the slowest channel known, and some
     private static final double ROUTINE_LINES = 0.3; // share of the backlog; the rest is for drains
     private static final double FIRST_LINES = 0.5; // share of the backlog; first tables and levels can wait
     private static final double URGENT_LINES = 0.85; // share of the backlog; the rest is the count's error
-    private static final double ROUTINE_MESSAGES = 0.33; // share of a proxy's messages; likewise
-    private static final double LEVEL_MESSAGES = 0.67; // share of any proxy's messages; levels reach all
+    private static final double ROUTINE_MESSAGES = 0.33; // share of a proxy's messages; for levels twice
     private static final long BUNCH_WAIT = 6_000; // 0.1 ms; well under any grace, over half the even gap
     private static final int SPARE_MESSAGES = 2; // messages; for withdrawals, which nothing holds back
     private static final int MARKS = 65_000; // numbers; under the wire's most
@@ -314,7 +312,7 @@
             if (e.kind() == Event.ListKind.FAILED) {
                 following = false;
                 nextFollow = now + followWait + (long) (followWait * chance());
-                followWait = Math.min(FOLLOW_RETRY_MOST, 2 * followWait);
+                followWait = Math.min(8 * FOLLOW_RETRY, 2 * followWait);
                 return;
             }
             following |= e.kind() != Event.ListKind.LAST_SEEN;
@@ -381,6 +379,7 @@
 
         @Override void on(Note note) {
             Event event = ((Told) note).event();
+            if (event instanceof Event.Answered e) channel.answered(this, e.mark().number());
             if (event instanceof Event.ProxyJoined e) {
                 zoneIndex = e.zone().index();
                 joined = true;
@@ -404,8 +403,6 @@
                 boolean all = Arrays.stream(opsByType).noneMatch(Double::isNaN);
                 ops = all ? sum : Math.max(ops, sum);
                 arriving = all ? Arrays.stream(latest).sum() : ops;
-            } else if (event instanceof Event.Answered e) {
-                channel.answered(this, e.mark().number());
             }
         }
     }
@@ -938,12 +935,14 @@
             pending += count + (before == null ? 1 + set.messageHead() : 0);
         }
 
-        /** Known tables lose what left by their own lines; a withdrawal is for those that nobody knows. */
+        /** Known tables lose what left by their own lines; withdrawals are for unknown, small ones. */
         void withdraw(int i, boolean leaves) {
             if (leaves ? proxies.values().stream().noneMatch(p -> p.joined && !p.bound) : !out[i]) return;
             out[i] = leaves;
             first.add(new Order.Withdraw(task[i].id, leaves));
-            for (Proxy p : proxies.values()) if (p.joined && (!p.bound || p.names(i))) touch(p, 1);
+            proxies.values().stream().filter(p -> p.joined && (p.bound ? p.names(i)
+                    : touched.getOrDefault(p.id.number(), 0) < set.standingLines()))
+                    .forEach(p -> touch(p, 1));
         }
 
         void line(Proxy p, int i, double weight) {
@@ -991,8 +990,9 @@
         }
 
         boolean roomForLevels() {
-            return queued() < FIRST_LINES * set.backlogLines() && (set.messagesMost() == 0 || proxies.values()
-                    .stream().allMatch(p -> !p.joined || recent(p) < LEVEL_MESSAGES * set.messagesMost()));
+            double most = set.messagesMost() == 0 ? 1e9 : 2 * ROUTINE_MESSAGES * set.messagesMost();
+            return queued() < FIRST_LINES * set.backlogLines()
+                    && proxies.values().stream().allMatch(p -> !p.joined || recent(p) < most);
         }
 
         /** Ops are tried again on proof that no try ran, and never when there is too much. */
--- a/src/test/java/stonespring/decision/AssignerTest.java
+++ b/src/test/java/stonespring/decision/AssignerTest.java
@@ -111,6 +111,42 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void keepsTheRulesAtFullSize(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        Fleet f = new Fleet(Fleet.settings(1, Settings.LevelKind.SHARE, 30, 8, false, 12_000, 8000, false));
+        for (int i = 0; i < 400; i++) {
+            f.list.put("t" + i, Fleet.listing("t" + i, i % 2, READY, 0));
+        }
+        f.start(seed);
+        for (int p = 0; p < 400; p++) {
+            f.join(p, p % 2, 1 + random.nextInt(20), true);
+        }
+        for (int step = 0; step < 120; step++) {
+            int batch = step % 12 == 5 ? 40 : 0; // a release goes on
+            for (int i = 0; i < batch; i++) {
+                int gone = step / 12 * 40 + i;
+                f.listed("t" + gone, gone % 2, Listing.State.DRAINING, 0);
+                f.listed("n" + gone, gone % 2, READY, f.now);
+            }
+            int proxy = random.nextInt(400);
+            if (step % 5 == 2 && f.proxies.get(proxy).joined) {
+                f.leave(proxy);
+            } else if (!f.proxies.get(proxy).joined) {
+                f.join(proxy, proxy % 2, 1, random.nextBoolean());
+            }
+            if (step == 70) {
+                restart(f, seed);
+            }
+            f.sums(0.05, Map.of("t399", 1.0));
+            f.step(SECOND / 2);
+            f.due.addAll(f.answers);
+            f.answers.clear();
+            f.checkRules("step " + step);
+        }
+    }
+
     /** The assigner is killed: proxies keep what they hold, its tables and withdrawals are gone. */
     private static void restart(Fleet f, long seed) {
         f.start(seed);
