--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -74,7 +74,7 @@
     private static final long FOLLOW_LOST = 90_000; // 0.1 ms; an answer, good or bad, comes well before
     private static final double CHANNEL_SLOW = 5; // times; the slowest channel known, and some
     private static final double ROUTINE_LINES = 0.3; // share of the backlog; the rest is for drains
-    private static final double FIRST_LINES = 0.5; // share of the backlog; first tables and levels can wait
+    private static final double FIRST_LINES = 0.35; // share of the backlog; first tables and levels can wait
     private static final double URGENT_LINES = 0.85; // share of the backlog; the rest is the count's error
     private static final double ROUTINE_MESSAGES = 0.33; // share of a proxy's messages; for levels twice
     private static final long BUNCH_WAIT = 6_000; // 0.1 ms; well under any grace, over half the even gap
