--- a/src/test/java/stonespring/decision/AssignerTest.java
+++ b/src/test/java/stonespring/decision/AssignerTest.java
@@ -26,7 +26,11 @@
     private static final Listing.State READY = Listing.State.READY;
 
     private static Fleet fleet(int tasks, int proxies) {
-        Fleet f = new Fleet(Fleet.settings(1, Settings.LevelKind.SHARE, 30, 4));
+        return fleet(Fleet.settings(1, Settings.LevelKind.SHARE, 30, 4), tasks, proxies);
+    }
+
+    private static Fleet fleet(Settings settings, int tasks, int proxies) {
+        Fleet f = new Fleet(settings);
         for (int i = 0; i < tasks; i++) {
             f.list.put("t" + i, Fleet.listing("t" + i, i % 2, READY, 0));
         }
@@ -198,15 +202,7 @@
     /** A list once called most tasks gone while they ran, and the few left were pushed over. */
     @Test
     void whatAListDropsStaysUntilItsTriesFailWhereThatDoesNotBind() {
-        Fleet f = new Fleet(Fleet.settings(1, Settings.LevelKind.SHARE, 30, 4, false, 3000, 2500, true));
-        for (int i = 0; i < 8; i++) {
-            f.list.put("t" + i, Fleet.listing("t" + i, i % 2, READY, 0));
-        }
-        f.start(7);
-        for (int p = 0; p < 8; p++) {
-            f.join(p, p % 2, 10, true);
-        }
-        f.step(1);
+        Fleet f = fleet(Fleet.settings(1, Settings.LevelKind.SHARE, 30, 4, false, 3000, 2500, true), 8, 8);
         turns(f, 5, 0.03, Map.of());
         f.listed("t0", 0, Listing.State.GONE, 0);
         f.listed("t1", 1, Listing.State.GONE, 0);
@@ -311,15 +307,7 @@
     /** Of several assigners none once let a cold task in until the jam was over, as each has a part of its room. */
     @Test
     void entrantsAreUsedWhileProxiesShunLittle() {
-        Fleet f = new Fleet(Fleet.settings(4, Settings.LevelKind.SHARE, 30, 4));
-        for (int i = 0; i < 8; i++) {
-            f.list.put("t" + i, Fleet.listing("t" + i, i % 2, READY, 0));
-        }
-        f.start(7);
-        for (int p = 0; p < 4; p++) {
-            f.join(p, p % 2, 10, true);
-        }
-        f.step(1);
+        Fleet f = fleet(Fleet.settings(4, Settings.LevelKind.SHARE, 30, 4), 8, 4);
         turns(f, 10, 0.04, Map.of());
         Map<String, Double> bad = new TreeMap<>();
         f.list.keySet().forEach(t -> bad.put(t, 0.22));
@@ -605,15 +593,7 @@
     /** On a slow channel routine orders stop well before the backlog's limit; a drain still goes out. */
     @Test
     void routineOrdersLeaveRoomInTheChannel() {
-        Fleet f = new Fleet(Fleet.settings(1, Settings.LevelKind.NONE, 0, 4, false, 300, 60, false));
-        for (int i = 0; i < 8; i++) {
-            f.list.put("t" + i, Fleet.listing("t" + i, i % 2, READY, 0));
-        }
-        f.start(7);
-        for (int p = 0; p < 8; p++) {
-            f.join(p, p % 2, 10, true);
-        }
-        f.step(1);
+        Fleet f = fleet(Fleet.settings(1, Settings.LevelKind.NONE, 0, 4, false, 300, 60, false), 8, 8);
         for (int i = 0; i < 40; i++) {
             f.sums(0.03, Map.of("t" + i / 3 % 8, 0.9));
             f.step(SECOND);
@@ -627,15 +607,7 @@
     /** A channel was once thirty times slower than its pace and counted as five times slower. */
     @Test
     void routineOrdersStopWhileAnswersLag() {
-        Fleet f = new Fleet(Fleet.settings(1, Settings.LevelKind.NONE, 0, 4, false, 300, 600, false));
-        for (int i = 0; i < 8; i++) {
-            f.list.put("t" + i, Fleet.listing("t" + i, i % 2, READY, 0));
-        }
-        f.start(7);
-        for (int p = 0; p < 8; p++) {
-            f.join(p, p % 2, 10, true);
-        }
-        f.step(1);
+        Fleet f = fleet(Fleet.settings(1, Settings.LevelKind.NONE, 0, 4, false, 300, 600, false), 8, 8);
         for (int i = 0; i < 60; i++) {
             if (!f.answers.isEmpty()) {
                 f.due.add(f.answers.remove(0));
