Sums and bad shares computed in one place; comments that no longer held

A task's bad share stood in three places beside good(), the fleet's capacity was summed three times a turn, a line was looked up three times to be aimed, and three tests took the mean level by hand. Comments on peers, calm and spare messages told of what is gone.

--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -51,7 +51,7 @@
     private static final double DOUBT = 2; // tries; fewer say nothing of a bad share
     // Levels and cold tasks.
     private static final double ADMIT_FILL = 0.9; // share of capacity; above it queues outgrow the targets
-    private static final double JAM = 0.2; // bad or late share of tries; twice what calm allows
+    private static final double JAM = 0.2; // bad or late share of tries; well above what calm allows
     private static final double SPREAD = 0.5; // share of capacity; trouble at more of it is a jam's
     private static final double CALM_SPREAD = 0.25; // share of capacity; trouble at less of it is some tasks'
     private static final double TRUST_CUT = 0.7; // times; a jam clears within a few cuts
@@ -68,7 +68,7 @@
     private static final double LEVEL_STEP = 0.05; // share; less is not worth a message to every proxy
     private static final double SHUN = 15; // s; three times what a proxy keeps away: bad tries come in rows
     private static final double COLD_MOST = 0.5; // share of the fall limit; the rest is for chance and noise
-    // Start, list, peers, channel.
+    // Start, list, channel.
     private static final int SETTLE_TURNS = 3; // turns; some rounds of sums before old tables are touched
     private static final long FOLLOW_RETRY = 5_000; // 0.1 ms; first wait to ask again, doubled thrice
     private static final long FOLLOW_LOST = 90_000; // 0.1 ms; an answer, good or bad, comes well before
@@ -78,7 +78,7 @@
     private static final double URGENT_LINES = 0.85; // share of the backlog; the rest is the count's error
     private static final double ROUTINE_MESSAGES = 0.33; // share of a proxy's messages; for levels twice
     private static final long BUNCH_WAIT = 6_000; // 0.1 ms; well under any grace, over half the even gap
-    private static final int SPARE_MESSAGES = 2; // messages; for withdrawals, which nothing holds back
+    private static final int SPARE_MESSAGES = 2; // messages; for the warnings of unknown tables
     private static final int MARKS = 65_000; // numbers; under the wire's most
     private static final long NEVER = Long.MIN_VALUE / 2; // 0.1 ms; before any clock
     private static final TimerToken TICK = new TimerToken(1), WAKE = new TimerToken(2); // the two timers
@@ -192,6 +192,8 @@
         return Arrays.stream(zones).mapToDouble(of -> of[i]).sum();
     }
 
+    private double good(int i) { return 1 - over(bad, i) / (over(tries, i) + DOUBT); }
+
     /** The sum of a figure over the listed, ready tasks. */
     private double sum(IntToDoubleFunction figure) {
         double sum = 0;
@@ -278,8 +280,7 @@
             double old = lastLine[z][index] == 0 ? Double.NaN : zoneRate[z][index];
             zoneRate[z][index] = smooth(old, seen, keep);
             lastLine[z][index] = now;
-            boolean dead = over(bad, index) > DEAD * (over(tries, index) + DOUBT);
-            if (dropped[index] && dead) leave(Listing.State.GONE);
+            if (dropped[index] && 1 - good(index) > DEAD) leave(Listing.State.GONE);
             LoadReport r = e.report();
             busy[index] = smooth(busy[index], r.busyShare(), keep * keep); // a mean already, and older
             told[index] = smooth(told[index], r.opsPerSecond(), keep);
@@ -363,9 +364,10 @@
 
         /** Aims a line at a task. */
         Line add(int i, double goal) {
-            if (find(i) == null) table.add(new Line(i));
-            find(i).goal = goal;
-            return find(i);
+            Line line = find(i);
+            if (line == null) table.add(line = new Line(i));
+            line.goal = goal;
+            return line;
         }
 
         /** Ops a second that the move to the goals brings a line's task; below 0 it takes them away. */
@@ -438,7 +440,7 @@
         private long lastTurn = NEVER, lastCut = NEVER, lastWarning = NEVER, wakeAt = NEVER;
         private int turns, unitReadings;
         private double[] capacity = new double[0], planned = new double[0];
-        private double part = 1, unit = Double.NaN, allListed, meanCapacity, meanFill;
+        private double part = 1, unit = Double.NaN, allListed, allCapacity, meanCapacity, meanFill;
         private double demand, level = 1, trust = 1, turnTries, turnVain;
 
         @Override void on(Note note) {
@@ -554,9 +556,9 @@
                         : listed[i] / allListed * Math.max(1, shown / part) / USUAL_FILL;
                 capacity[i] = live(i) ? full * warmth(i) : 0;
             }
-            double all = sum(i -> capacity[i]);
-            meanCapacity = all / Math.max(1, sum(i -> 1));
-            meanFill = sum(this::total) / all;
+            allCapacity = sum(i -> capacity[i]);
+            meanCapacity = allCapacity / Math.max(1, sum(i -> 1));
+            meanFill = sum(this::total) / allCapacity;
         }
 
         /**
@@ -601,12 +603,11 @@
         private void levels(boolean turn) {
             if (demand <= 0) return;
             // Who fails more than the rest counts less: the silent carry nothing.
-            double meanGood = sum(i -> capacity[i] * good(i)) / Math.max(1e-9, sum(i -> capacity[i]));
+            double meanGood = sum(i -> capacity[i] * good(i)) / Math.max(1e-9, allCapacity);
             double able = part / demand * sum(i -> capacity[i] * Math.min(1, good(i) / (meanGood + 1e-9)));
             double reported = sum(i -> busy[i] >= 0 ? capacity[i] : 0);
             double fill = reported > 0 ? sum(i -> busy[i] >= 0 ? capacity[i] * busy[i] : 0) / reported : 0;
-            double spread = sum(i -> troubled(i) > CALM ? capacity[i] : 0)
-                    / Math.max(1e-9, sum(i -> capacity[i]));
+            double spread = sum(i -> troubled(i) > CALM ? capacity[i] : 0) / Math.max(1e-9, allCapacity);
             double trouble = turnVain / Math.max(DOUBT, turnTries);
             double step = TRUST_STEP * set.sumsEvery() / Tenths.SECOND;
             if (turn && trouble > JAM && spread > SPREAD && now - lastCut > CUT_WAIT) {
@@ -656,8 +657,6 @@
 
         private double troubled(int i) { return 1 - good(i) * (1 - late(latency[i])); }
 
-        private double good(int i) { return 1 - over(bad, i) / (over(tries, i) + DOUBT); }
-
         private double badShare(int z, int i) { return bad[z][i] / (tries[z][i] + DOUBT); }
 
         /** The table that a proxy keeps: its lines, with what left swapped for live tasks. */
@@ -748,8 +747,7 @@
         private void enterIdle() {
             IntStream.range(0, tasks)
                     .filter(i -> live(i) && warmth(i) >= 1 && now - entered[i] > ENTER_AGAIN
-                            && over(bad, i) < CALM * (over(tries, i) + DOUBT)
-                            && fill(i) < IDLE_FILL * meanFill)
+                            && 1 - good(i) < CALM && fill(i) < IDLE_FILL * meanFill)
                     .boxed().min(Comparator.comparingDouble(this::fill)).filter(i -> !entrants.contains(i))
                     .ifPresent(entrants::add);
         }
--- a/src/test/java/stonespring/decision/AssignerTest.java
+++ b/src/test/java/stonespring/decision/AssignerTest.java
@@ -293,7 +293,7 @@
         }
         turns(f, 7, 0.1, bad);
         // Of 80 ops a fifth is acked by 14 tasks, each surely able to do three quarters of its part and some.
-        double level = (f.levels[0] + f.levels[1] + f.levels[2]) / 3;
+        double level = f.meanLevel();
         double sure = 0.76 * 80 * 0.2 / 0.6 / 14;
         for (int i = 0; i < 6; i++) {
             String cold = "cold" + i;
@@ -427,7 +427,7 @@
         f.surge = 3;
         f.opsSpan = SECOND;
         turns(f, 1, 0.08, Map.of());
-        double level = (f.levels[0] + f.levels[1] + f.levels[2]) / 3;
+        double level = f.meanLevel();
         assertTrue(level < 0.5, "level " + level);
     }
 
@@ -454,7 +454,7 @@
             f.list.keySet().forEach(t -> bad.put(t, 0.5));
             for (int i = 0; i < 12; i++) {
                 turns(f, 1, busy == 1 ? 0.2 : 0.05, bad);
-                least[busy] = Math.min(least[busy], (f.levels[0] + f.levels[1] + f.levels[2]) / 3);
+                least[busy] = Math.min(least[busy], f.meanLevel());
             }
         }
         assertTrue(least[0] > 1.15 * least[1], least[0] + " with time, " + least[1] + " without");
--- a/src/test/java/stonespring/decision/Fleet.java
+++ b/src/test/java/stonespring/decision/Fleet.java
@@ -176,6 +176,10 @@
         return lines;
     }
 
+    double meanLevel() {
+        return java.util.Arrays.stream(levels).average().getAsDouble();
+    }
+
     /** Ops a second that all tables bring a task. */
     double load(String task) {
         return proxies.values().stream().filter(p -> p.joined)
