--- /dev/null
+++ b/src/main/java/stonespring/config/AssignerSettings.java
@@ -0,0 +1,152 @@
+package stonespring.config;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import stonespring.model.OpType;
+import stonespring.model.Settings;
+import stonespring.model.Tenths;
+
+/**
+ * The settings of one instance, decoded once from a script.
+ *
+ * @param name what the instance is called in logs
+ * @param port the snapshot port; updates go out at the next one, the collector listens at the one after
+ * @param settings what the decisions are told
+ * @param opTimeouts the op types' timeouts, tenths of a millisecond
+ * @param saved where the last list is kept, or null
+ */
+public record AssignerSettings(String name, String host, int port, Settings settings, List<String> zones,
+                               List<String> opTypeNames, List<Long> opTimeouts, Source source, Path saved, Bounds bounds) {
+    /** Where the list of tasks comes from. */
+    public sealed interface Source {
+        record FromFile(Path path) implements Source {
+        }
+
+        /** @param waitSeconds how long the registry may hold an ask open */
+        record FromRegistry(String host, int port, String service, int waitSeconds) implements Source {
+        }
+    }
+
+    /** @param momentMillis how long events are gathered before the decisions are asked */
+    public record Bounds(int proxies, int connections, int pendingBytes, int inbox, int momentMillis) {
+    }
+
+    private static final String NAME = "[A-Za-z0-9][A-Za-z0-9._-]{0,62}";
+
+    /** Runs and validates a script; the exception holds every fault. */
+    public static AssignerSettings read(Path file) throws ScriptException {
+        Script.Dict globals = Script.run(file);
+        List<Fault> faults = new ArrayList<>();
+        Section top = Section.of(file.toString(), globals, faults);
+        AssignerSettings settings = decode(top, file);
+        top.has("day"); // a day's script holds its fleet's settings too
+        top.done();
+        if (!faults.isEmpty()) {
+            throw new ScriptException(faults);
+        }
+        return settings;
+    }
+
+    /** The same settings at another port. */
+    public AssignerSettings at(int otherPort) {
+        return new AssignerSettings(name, host, otherPort, settings, zones, opTypeNames, opTimeouts, source, saved, bounds);
+    }
+
+    static AssignerSettings decode(Section top, Path file) {
+        Section assigner = top.section("assigner", false);
+        String name = assigner.text("name", NAME, "assigner");
+        String host = assigner.text("host", "[0-9a-zA-Z.:-]{1,100}", "127.0.0.1");
+        int port = assigner.whole("port", 0, 65533, 7400);
+        String saved = assigner.text("saved_list", ".{1,500}", "");
+        assigner.done();
+        Section fleet = top.section("fleet", true);
+        List<String> zones = fleet.texts("zones", NAME, 1, 64);
+        int proxies = fleet.whole("proxies", 1, 65_000, null);
+        int assigners = fleet.whole("assigners", 1, 1000, 1);
+        int standing = fleet.whole("standing_lines", 0, 1000, 5);
+        int shun = fleet.whole("shun_after", 0, 1000, 0);
+        fleet.done();
+        List<OpType> types = new ArrayList<>();
+        List<String> typeNames = new ArrayList<>();
+        List<Long> timeouts = new ArrayList<>();
+        for (Section type : top.sections("op_types", 1, 16)) {
+            String typeName = type.text("name", NAME, null);
+            if (typeNames.contains(typeName)) {
+                type.refuse("name", "is '" + typeName + "' for a second time");
+            }
+            typeNames.add(typeName);
+            double target = type.number("target_latency_ms", 1, 600_000, null);
+            double timeout = type.number("op_timeout_ms", 1, 3_600_000, null);
+            if (timeout < target) {
+                type.refuse("op_timeout_ms", "is below the target latency");
+            }
+            timeouts.add(Math.round(timeout * Tenths.SECOND / 1000));
+            types.add(new OpType(OpType.Repeat.valueOf(type.word("repeat", List.of("retryable", "deduplicated", "once_only"),
+                    null).toUpperCase(java.util.Locale.ROOT)), Math.round(target * Tenths.SECOND / 1000),
+                    type.number("benefit", 0, 1e6, 1.0)));
+            type.done();
+        }
+        Settings settings = settings(top, zones, types, assigners, standing, proxies, shun);
+        Source source = source(top, file);
+        Section bounds = top.section("bounds", false);
+        Bounds limits = new Bounds(bounds.whole("proxies", 1, 65_000, 20_000),
+                bounds.whole("connections", 1, 65_000, 10_000),
+                bounds.whole("pending_bytes", 65_536, 1 << 30, 8 << 20),
+                bounds.whole("inbox_words", 100, 10_000_000, 100_000), bounds.whole("moment_ms", 0, 1000, 5));
+        bounds.done();
+        return new AssignerSettings(name, host, port, settings, zones, typeNames, timeouts, source,
+                saved.isEmpty() ? null : beside(file, saved), limits);
+    }
+
+    private static Path beside(Path file, String path) {
+        return file.toAbsolutePath().resolveSibling(path).normalize();
+    }
+
+    private static Settings settings(Section top, List<String> zones, List<OpType> types, int assigners, int standing,
+                                     int proxies, int shun) {
+        Section channel = top.section("channel", true);
+        int backlog = channel.whole("backlog_lines", 10, 100_000_000, null);
+        int head = channel.whole("message_head_lines", 0, 10_000, 10);
+        int messages = channel.whole("messages_most", 0, 1_000_000, 0);
+        long over = seconds(channel, "messages_over_s", 0.1, 3600, 10.0);
+        double pace = channel.number("lines_per_s", 1, 1e9, null);
+        channel.done();
+        Section rules = top.section("rules", true);
+        long empty = seconds(rules, "empty_limit_s", 0.1, 3600, null);
+        long cold = seconds(rules, "cold_s", 0, 3600, null);
+        double coldShare = rules.number("cold_share", 0.001, 1, null);
+        double fall = rules.number("fall_multiple", 1, 1000, null);
+        boolean stay = rules.flag("dropped_stay_open", false);
+        rules.done();
+        Section reports = top.section("reports", false);
+        long every = seconds(reports, "every_s", 0.05, 60, 1.0);
+        reports.done();
+        Section prices = top.section("prices", false);
+        double crossZone = prices.number("cross_zone", 0, 1, 0.0);
+        double worst = prices.number("worst_op_type", 0, 1, 0.0);
+        prices.done();
+        String levels = top.word("levels", List.of("share", "rate", "none"), "share");
+        boolean asks = top.section("tasks", true).word("from", List.of("file", "registry"), null).equals("registry");
+        return new Settings(assigners, zones.size(), List.copyOf(types), asks,
+                Settings.LevelKind.valueOf(levels.toUpperCase(java.util.Locale.ROOT)), backlog, head, messages, over, pace,
+                empty, standing, proxies, every, false, crossZone, cold, coldShare, fall, worst, stay, shun);
+    }
+
+    private static long seconds(Section section, String key, double least, double most, Double standard) {
+        return Tenths.ofSeconds(section.number(key, least, most, standard));
+    }
+
+    private static Source source(Section top, Path file) {
+        Section tasks = top.section("tasks", true);
+        Source source;
+        if (tasks.word("from", List.of("file", "registry"), null).equals("registry")) {
+            source = new Source.FromRegistry(tasks.text("host", "[0-9a-zA-Z.-]{1,100}", "127.0.0.1"),
+                    tasks.whole("port", 1, 65535, null), tasks.text("service", NAME, null), tasks.whole("wait_s", 1, 600, 10));
+        } else {
+            source = new Source.FromFile(beside(file, tasks.text("path", ".{1,500}", null)));
+        }
+        tasks.done();
+        return source;
+    }
+}
--- a/src/main/java/stonespring/daemon/Core.java
+++ b/src/main/java/stonespring/daemon/Core.java
@@ -87,7 +87,23 @@
         } else {
             moreCauses++;
         }
-        module.take(now, event);
+        take(now, event);
+    }
+
+    private void take(long now, Event event) {
+        try {
+            module.take(now, event);
+        } catch (RuntimeException | StackOverflowError e) {
+            throw new DecisionFailed(e);
+        }
+    }
+
+    private List<Order> finish(long now) {
+        try {
+            return module.finish(now);
+        } catch (RuntimeException | StackOverflowError e) {
+            throw new DecisionFailed(e);
+        }
     }
 
     /** A proxy says that it is here, for {@code holds} from now. */
@@ -128,8 +144,8 @@
     }
 
     /** What a proxy met; from one that is not here it ends the connection. */
-    public void reported(String proxy, long span, List<Reports.Met> met, List<Reports.Came> came, Intake.Origin from,
-                         long now) {
+    public void reported(String proxy, long span, List<Reports.Met> met, List<Reports.Came> came,
+                         Intake.Origin from) {
         ProxyId id = presence.speaking(proxy, from);
         if (id == null) {
             from.end("report: proxy " + proxy + " never joined on this connection");
@@ -195,7 +211,7 @@
         }
         if (now >= reportsAt) {
             List<Event> events = reports.drain();
-            events.forEach(event -> module.take(now, event));
+            events.forEach(event -> take(now, event));
             if (!events.isEmpty()) {
                 pendingEvents = true;
                 causes.add("sums");
@@ -205,7 +221,7 @@
         if (pendingEvents) {
             pendingEvents = false;
             finishes++;
-            carryOut(module.finish(now), now);
+            carryOut(finish(now), now);
             causes.clear();
             moreCauses = 0;
         }
