--- /dev/null
+++ b/src/main/java/stonespring/proxy/routing/TypeIndex.java
@@ -0,0 +1,5 @@
+package stonespring.proxy.routing;
+
+/** An op type by its position in the settings. */
+public record TypeIndex(int index) {
+}
