--- /dev/null
+++ b/src/main/java/stonespring/cli/DayCommand.java
@@ -0,0 +1,47 @@
+package stonespring.cli;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import stonespring.config.ScriptException;
+import stonespring.lab.Day;
+import stonespring.lab.DayRun;
+import stonespring.lab.Observer;
+
+@Command(name = "day", mixinStandardHelpOptions = true,
+        description = "Plays a scripted day on loopback with stand-ins and judges the five rules by what crossed the sockets.")
+final class DayCommand implements Callable<Integer> {
+    @Parameters(paramLabel = "FILE", description = "The day's script.")
+    private Path file;
+
+    @Option(names = "--seed", defaultValue = "1", description = "Who is struck, what is drawn (${DEFAULT-VALUE}).")
+    private long seed;
+
+    @Option(names = "--keep", paramLabel = "FOLDER", description = "Where logs of the assigners are kept (a temporary folder).")
+    private Path keep;
+
+    @Mixin private Logs logs;
+
+    @Override public Integer call() throws Exception {
+        logs.set();
+        Day day;
+        try {
+            day = Day.read(file);
+        } catch (ScriptException e) {
+            return Exit.fail(Exit.USAGE, "day:\n" + e.getMessage());
+        }
+        Path folder = keep == null ? DayRun.folder() : Files.createDirectories(keep);
+        try {
+            Observer.Verdict verdict = new DayRun(day, file, seed, folder).run();
+            System.out.printf("seed %d: ", seed);
+            System.out.print(DayRun.report(verdict));
+            return verdict.broken().isEmpty() ? Exit.GOOD : Exit.FAILED;
+        } catch (DayRun.Failed e) {
+            return Exit.fail(Exit.FAILED, e.getMessage() + "; logs are in " + folder);
+        }
+    }
+}
--- a/src/main/java/stonespring/cli/Serve.java
+++ b/src/main/java/stonespring/cli/Serve.java
@@ -22,6 +22,12 @@
     @Option(names = "--port", description = "Snapshot port, instead of the script's; 0 takes three free ones.")
     private Integer port;
 
+    @Option(names = "--registry-port", description = "The registry's port, instead of the script's.")
+    private Integer registryPort;
+
+    @Option(names = "--saved-list", paramLabel = "PATH", description = "Where the last list is kept, instead of the script's.")
+    private Path savedList;
+
     @Mixin private Logs logs;
 
     @Override public Integer call() throws Exception {
@@ -32,11 +38,10 @@
         } catch (ScriptException e) {
             return Exit.fail(Exit.USAGE, "settings:\n" + e.getMessage());
         }
-        if (port != null) {
-            if (port < 0 || port > 65533) {
-                return Exit.fail(Exit.USAGE, "--port is outside 0 to 65533");
-            }
-            settings = settings.at(port);
+        try {
+            settings = settings.with(port, registryPort, savedList);
+        } catch (IllegalArgumentException e) {
+            return Exit.fail(Exit.USAGE, e.getMessage());
         }
         Daemon daemon = new Daemon(settings);
         AtomicBoolean told = new AtomicBoolean();
--- a/src/main/java/stonespring/config/AssignerSettings.java
+++ b/src/main/java/stonespring/config/AssignerSettings.java
@@ -48,9 +48,20 @@
         return settings;
     }
 
-    /** The same settings at another port. */
-    public AssignerSettings at(int otherPort) {
-        return new AssignerSettings(name, host, otherPort, settings, zones, opTypeNames, opTimeouts, source, saved, bounds);
+    /** The same settings with what a command line says instead; null leaves a value as it is. */
+    public AssignerSettings with(Integer otherPort, Integer registryPort, Path savedList) {
+        if (otherPort != null && (otherPort < 0 || otherPort > 65533)) {
+            throw new IllegalArgumentException("the port is outside 0 to 65533");
+        }
+        Source from = source;
+        if (registryPort != null) {
+            if (!(source instanceof Source.FromRegistry r) || registryPort < 1 || registryPort > 65535) {
+                throw new IllegalArgumentException("the registry's port is outside 1 to 65535, or tasks come from a file");
+            }
+            from = new Source.FromRegistry(r.host(), registryPort, r.service(), r.waitSeconds());
+        }
+        return new AssignerSettings(name, host, otherPort == null ? port : otherPort, settings, zones, opTypeNames, opTimeouts,
+                from, savedList == null ? saved : savedList, bounds);
     }
 
     static AssignerSettings decode(Section top, Path file) {
--- a/src/main/java/stonespring/proxy/AssignerLink.java
+++ b/src/main/java/stonespring/proxy/AssignerLink.java
@@ -47,7 +47,7 @@
     private int assigner;
     private boolean joined;
     private boolean stopped;
-    private long applied;
+    private volatile long applied;
 
     AssignerLink(ProxySettings set, EventLoop loop, Router router, Tally tally) {
         this.set = set;
