--- a/src/main/java/stonespring/http/HttpDecoder.java
+++ b/src/main/java/stonespring/http/HttpDecoder.java
@@ -28,6 +28,7 @@
     private Map<String, String> headers;
     private int headerLines;
     private int left;
+    private boolean dead;
     private ByteArrayOutputStream body;
 
     HttpDecoder(boolean requests, int bodyMost) {
@@ -36,6 +37,19 @@
     }
 
     @Override protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+        if (dead) {
+            in.skipBytes(in.readableBytes()); // after a fault nothing that follows has a meaning
+            return;
+        }
+        try {
+            step(in, out);
+        } catch (HttpFault e) {
+            dead = true;
+            throw e;
+        }
+    }
+
+    private void step(ByteBuf in, List<Object> out) {
         switch (at) {
             case FIRST -> {
                 String line = line(in);
--- a/src/main/java/stonespring/lab/Evidence.java
+++ b/src/main/java/stonespring/lab/Evidence.java
@@ -43,13 +43,21 @@
 
     private final long start = System.nanoTime();
     private final List<Object> all = new ArrayList<>();
+    private final boolean kept;
+
+    /** @param kept false where nobody judges: then nothing is gathered, however long it goes on */
+    public Evidence(boolean kept) {
+        this.kept = kept;
+    }
 
     public double now() {
         return (System.nanoTime() - start) / 1e6;
     }
 
     public synchronized void add(Object seen) {
-        all.add(seen);
+        if (kept) {
+            all.add(seen);
+        }
     }
 
     public synchronized <T> List<T> of(Class<T> kind) {
--- a/src/main/java/stonespring/lab/RegistryStandIn.java
+++ b/src/main/java/stonespring/lab/RegistryStandIn.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import stonespring.http.HttpMessage;
 import stonespring.http.HttpServer;
+import stonespring.model.Listing;
 
 /**
  * A registry in the published form of Consul's health endpoint, with blocking queries. What changes shows after a
@@ -80,6 +81,20 @@
         }, lateMillis, TimeUnit.MILLISECONDS);
     }
 
+    /** Replaces all that is listed. */
+    void whole(List<Listing> list, List<String> zones) {
+        loop.execute(() -> {
+            entries.clear();
+            for (Listing l : list) {
+                String id = l.task().name();
+                entries.put(id, new Entry(id.substring(0, id.lastIndexOf('@')),
+                        Integer.parseInt(id.substring(id.lastIndexOf(':') + 1)), zones.get(l.zone().index()),
+                        l.state() == Listing.State.DRAINING, l.startedAt() == 0 ? -1 : l.startedAt() / 10.0 - unixAtStart));
+            }
+            changed();
+        });
+    }
+
     /** Calls running tasks gone, or takes that back: a wrong list. */
     void hide(String name, boolean on) {
         loop.execute(() -> {
--- a/src/main/java/stonespring/zmtp/ZmtpDecoder.java
+++ b/src/main/java/stonespring/zmtp/ZmtpDecoder.java
@@ -22,6 +22,7 @@
 
     private final ZmtpLimits limits;
     private boolean greeted;
+    private boolean dead;
     private int judged;
     private List<byte[]> frames = new ArrayList<>();
     private long messageBytes;
@@ -32,10 +33,19 @@
     }
 
     @Override protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
-        if (!greeted) {
-            greeting(in, out);
-        } else {
-            frame(in, out);
+        if (dead) {
+            in.skipBytes(in.readableBytes()); // after a fault nothing that follows has a meaning
+            return;
+        }
+        try {
+            if (!greeted) {
+                greeting(in, out);
+            } else {
+                frame(in, out);
+            }
+        } catch (ZmtpException e) {
+            dead = true;
+            throw e;
         }
     }
 
