--- a/src/main/java/stonespring/lab/DayRun.java
+++ b/src/main/java/stonespring/lab/DayRun.java
@@ -4,8 +4,6 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -139,7 +137,7 @@
     }
 
     private void setUp() throws Exception {
-        registry.start(0);
+        registry.start(FreePorts.take(1));
         for (int z = 0; z < zones(); z++) {
             for (int i = 0; i < day.tasksPerZone(); i++) {
                 TaskStandIn task = task(z);
@@ -150,7 +148,7 @@
         // Discovery is late: an assigner that starts now would be told of nothing.
         Thread.sleep(day.listLateMillis() + 50);
         for (int i = 0; i < day.assigner().settings().assigners(); i++) {
-            AssignerProcess assigner = new AssignerProcess(script, freePorts(), registry.port(),
+            AssignerProcess assigner = new AssignerProcess(script, FreePorts.take(3), registry.port(),
                     folder.resolve("saved-" + i + ".json"), folder.resolve("assigner-" + i + ".log"));
             assigners.add(assigner);
             assigner.start();
@@ -165,6 +163,7 @@
             // Most proxies carry little, some far more.
             seat.ops = Math.pow(1 - random.nextDouble(), -0.6);
             all += seat.ops;
+            seat.port = FreePorts.take(1);
             seats.add(seat);
         }
         for (Seat seat : seats) {
@@ -186,19 +185,6 @@
         return day.assigner().zones().size();
     }
 
-    private static int freePorts() throws IOException {
-        for (int i = 0; i < 100; i++) {
-            try (ServerSocket a = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-                 ServerSocket b = new ServerSocket(a.getLocalPort() + 1, 1, InetAddress.getLoopbackAddress());
-                 ServerSocket c = new ServerSocket(a.getLocalPort() + 2, 1, InetAddress.getLoopbackAddress())) {
-                return a.getLocalPort();
-            } catch (IOException | IllegalArgumentException e) {
-                // one of the three is taken: try others
-            }
-        }
-        throw new IOException("no three free ports in a row");
-    }
-
     private List<ClientStandIn.Asked> asked() {
         List<ClientStandIn.Asked> asked = new ArrayList<>();
         for (int k = 0; k < day.assigner().opTypeNames().size(); k++) {
@@ -210,7 +196,7 @@
         return asked;
     }
 
-    private TaskStandIn task(int zone) {
+    private TaskStandIn task(int zone) throws IOException {
         Settings s = day.assigner().settings();
         Map<String, Double> windows = new HashMap<>();
         for (int k = 0; k < s.opTypes().size(); k++) {
@@ -223,6 +209,7 @@
                 day.workMillis(), 0, windows, s.coldShare(), s.coldTime() / 10.0, s.fallMultiple(), day.fallMillis());
         TaskStandIn task = new TaskStandIn("t" + (tasks.size() + 1), day.assigner().zones().get(zone), make, loops, evidence,
                 random.nextLong());
+        task.listenAt(FreePorts.take(1));
         tasks.add(task);
         return task;
     }
@@ -241,7 +228,6 @@
                 timeouts, standing(seat.zone, s.standingLines()), seat.ports, seat.ops, 50, s.sumsEvery() / 10, SILENCE_MILLIS,
                 300, 1500, PRESENCE_SECONDS);
         seat.proxy = new Proxy(settings, loop()).start(loops, seat.port);
-        seat.port = seat.proxy.port();
     }
 
     /** Tasks that run and are listed, drawn in the proxy's zone where three are there. */
--- a/src/main/java/stonespring/state/Published.java
+++ b/src/main/java/stonespring/state/Published.java
@@ -90,8 +90,12 @@
         boolean any = keys.has(subtree + COMMIT);
         streams.remove(proxy.number());
         keys.forget(subtree);
-        Update presence = keys.delete(PRESENCE + this.presence.name(proxy));
-        return any ? List.of(keys.delete(subtree + COMMIT), presence) : List.of(presence);
+        List<Update> updates = new ArrayList<>();
+        if (any) {
+            updates.add(keys.delete(subtree + COMMIT));
+        }
+        updates.add(keys.delete(PRESENCE + presence.name(proxy)));
+        return updates;
     }
 
     /** Whether this mark was set for the proxy's stream and not answered yet; it is answered by this. */
