--- a/src/main/java/stonespring/config/Parser.java
+++ b/src/main/java/stonespring/config/Parser.java
@@ -47,7 +47,10 @@
     }
 
     private Skip fault(Place place, String message) {
-        faults.add(new Fault(place, message));
+        // A line that is told already needs no second word on what follows from the first.
+        if (faults.stream().noneMatch(f -> f.place().line() == place.line() && f.place().file().equals(place.file()))) {
+            faults.add(new Fault(place, message));
+        }
         return new Skip();
     }
 
--- a/src/main/java/stonespring/config/ScriptException.java
+++ b/src/main/java/stonespring/config/ScriptException.java
@@ -1,5 +1,6 @@
 package stonespring.config;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.stream.Collectors;
 
@@ -9,8 +10,13 @@
     private final transient List<Fault> faults;
 
     public ScriptException(List<Fault> faults) {
-        super(faults.stream().distinct().map(Fault::toString).collect(Collectors.joining("\n")), null, false, false);
-        this.faults = faults.stream().distinct().toList();
+        super(ordered(faults).stream().map(Fault::toString).collect(Collectors.joining("\n")), null, false, false);
+        this.faults = ordered(faults);
+    }
+
+    private static List<Fault> ordered(List<Fault> faults) {
+        return faults.stream().distinct().sorted(Comparator.comparing((Fault f) -> f.place().file())
+                .thenComparing(f -> f.place().line()).thenComparing(f -> f.place().column())).toList();
     }
 
     public List<Fault> faults() {
