--- a/src/main/java/stonespring/lab/Day.java
+++ b/src/main/java/stonespring/lab/Day.java
@@ -32,7 +32,8 @@
     public static final List<String> KINDS = List.of("crash", "silent", "fast_errors", "pauses", "late_reports", "zone_loss",
             "zone_cut", "deploy", "shrink", "growth", "surge", "proxy_crash", "assigner_crash", "slow_channel", "reconnect",
             "proxy_stall", "assigner_stall", "false_reports", "slow_handshakes", "op_type_fails", "flapping", "impatience",
-            "taken_in_waves", "wrong_list", "registry_dead", "cut_in_snapshot", "byte_by_byte", "half_close");
+            "taken_in_waves", "wrong_list", "registry_dead", "cut_in_snapshot", "byte_by_byte", "half_close",
+            "lost_answers");
 
     public static Day read(Path file) throws ScriptException {
         AssignerSettings assigner = AssignerSettings.read(file);
--- a/src/main/java/stonespring/lab/DayRun.java
+++ b/src/main/java/stonespring/lab/DayRun.java
@@ -317,6 +317,8 @@
             });
             case "fast_errors" -> during(t, () -> struck.forEach(task -> task.errors(t.size())),
                     () -> struck.forEach(task -> task.errors(0)));
+            case "lost_answers" -> during(t, () -> struck.forEach(task -> task.losesAnswers(t.size())),
+                    () -> struck.forEach(task -> task.losesAnswers(0)));
             case "pauses" -> each(t, () -> struck.forEach(task -> task.still(t.size() * (0.5 + random.nextDouble()))));
             case "flapping" -> each(t, () -> struck.forEach(task -> task.errors(random.nextBoolean() ? 1 : 0)));
             case "late_reports" -> during(t, () -> links(proxies, link -> link.delay((long) t.size(), 0)),
--- a/src/main/java/stonespring/lab/TaskStandIn.java
+++ b/src/main/java/stonespring/lab/TaskStandIn.java
@@ -55,6 +55,7 @@
     // Troubles; set by the day from its own thread.
     private volatile boolean silent;
     private volatile double errorShare;
+    private volatile double lostShare;
     private volatile String failingType = "";
     private volatile double reportTimes = 1;
     private volatile double handshakeTimes = 1;
@@ -151,6 +152,11 @@
         errorShare = share;
     }
 
+    /** Runs what comes and breaks the connection in place of a share of the answers. */
+    void losesAnswers(double share) {
+        lostShare = share;
+    }
+
     void failType(String opType) {
         failingType = opType;
     }
@@ -278,6 +284,10 @@
     }
 
     private void answer(HttpServer.Exchange exchange, HttpMessage answer) {
+        if (answer.status() == 200 && random.nextDouble() < lostShare) {
+            exchange.channel().close();
+            return;
+        }
         double now = evidence.now();
         busySpans.removeIf(span -> span[0] + span[1] < now - 500);
         double busy = busySpans.stream().mapToDouble(s -> Math.min(now, s[0] + s[1]) - Math.max(now - 500, s[0])).sum();
