--- a/src/main/java/stonespring/http/HttpServer.java
+++ b/src/main/java/stonespring/http/HttpServer.java
@@ -85,10 +85,10 @@
         return ((InetSocketAddress) listener.localAddress()).getPort();
     }
 
-    /** Stops listening and ends all connections. */
-    public void stop() {
-        listener.close();
+    /** Stops listening and ends all connections; the future is done once its port is free again. */
+    public ChannelFuture stop() {
         open.close();
+        return listener.close();
     }
 
     /** The connections that are open. */
--- a/src/main/java/stonespring/lab/DayRun.java
+++ b/src/main/java/stonespring/lab/DayRun.java
@@ -358,13 +358,16 @@
                     () -> seats.forEach(s -> s.client.rate(s.ops)));
             case "impatience" -> during(t, () -> seats.forEach(s -> s.client.patience(t.size())),
                     () -> seats.forEach(s -> s.client.patience(1)));
-            case "proxy_crash" -> proxies.forEach(seat -> {
-                seat.proxy.stop();
-                at(end, () -> startProxy(seat));
-            });
+            case "proxy_crash" -> {
+                for (Seat seat : proxies) {
+                    seat.proxy.stop();
+                    at(end, () -> startProxy(seat));
+                }
+            }
             case "proxy_stall" -> each(t, () -> proxies.forEach(seat -> {
-                seat.proxy.reading(false);
-                at(now() + t.size(), () -> seat.proxy.reading(true));
+                Proxy halted = seat.proxy;
+                halted.standStill(true);
+                at(now() + t.size(), () -> halted.standStill(false));
             }));
             case "assigner_stall" -> each(t, () -> {
                 links(seats, link -> link.freeze(true));
--- a/src/main/java/stonespring/lab/TaskStandIn.java
+++ b/src/main/java/stonespring/lab/TaskStandIn.java
@@ -50,9 +50,10 @@
     private int life;
     private double startedAt = -1e9;
     private double stillUntil;
-    private boolean up;
+    private volatile boolean up;
 
     // Troubles; set by the day from its own thread.
+    private volatile io.netty.channel.ChannelFuture stopped;
     private volatile boolean silent;
     private volatile double errorShare;
     private volatile double lostShare;
@@ -95,6 +96,9 @@
 
     /** Starts, cold or warm; a second start takes the same port. */
     void start(boolean cold) throws IOException, InterruptedException {
+        if (stopped != null) {
+            stopped.await(); // a port is taken until its listener has ended
+        }
         server = new HttpServer(new HttpServer.Handler() {
             @Override public void request(HttpMessage request, HttpServer.Exchange exchange) {
                 loop.execute(() -> take(request, exchange));
@@ -135,7 +139,7 @@
     void crash() {
         if (up) {
             up = false;
-            server.stop();
+            stopped = server.stop();
             loop.execute(() -> life++);
         }
     }
--- a/src/main/java/stonespring/proxy/Proxy.java
+++ b/src/main/java/stonespring/proxy/Proxy.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import stonespring.http.HttpClient;
@@ -26,6 +27,8 @@
     private static final int IDLE_MOST = 8; // connections kept open to one task
     private static final int IN_HAND_MOST = 5_000; // ops; above it an op is answered as not done at once
 
+    private static final long CATCH_UP_MILLIS = 100; // ms; what waits in the socket is read and applied by then
+
     private final ProxySettings set;
     private final EventLoop loop;
     private final Router router;
@@ -34,7 +37,9 @@
     private final HttpClient client;
     private final HttpServer server;
     private final TreeSet<String> connected = new TreeSet<>();
+    private final ArrayDeque<Runnable> held = new ArrayDeque<>();
     private int inHand;
+    private boolean still;
 
     public Proxy(ProxySettings settings, EventLoop loop) {
         this.set = settings;
@@ -64,13 +69,31 @@
         return link.applied();
     }
 
-    /** Stands still towards its assigner, or goes on. */
-    public void reading(boolean on) {
-        loop.execute(() -> link.reading(on));
+    /**
+     * Stands still, or goes on: nothing is read from its assigner, no op is taken up. When it goes on it reads what
+     * was ordered meanwhile before it sends the first op: its tables are as old as its halt was long.
+     */
+    public void standStill(boolean on) {
+        loop.execute(() -> {
+            link.reading(!on);
+            if (on) {
+                still = true;
+            } else {
+                loop.schedule(this::goOn, CATCH_UP_MILLIS, TimeUnit.MILLISECONDS);
+            }
+        });
     }
 
-    public void stop() {
-        server.stop();
+    private void goOn() {
+        still = false;
+        while (!still && !held.isEmpty()) {
+            held.poll().run();
+        }
+    }
+
+    /** Ends it at once; what it held has no answer. Waits until its port is free. */
+    public void stop() throws InterruptedException {
+        server.stop().await();
         loop.execute(() -> {
             link.stop();
             client.close();
@@ -96,7 +119,14 @@
             exchange.answer(HttpMessage.answer(404, "POST /op/TYPE with header x-op\n"));
             return;
         }
-        new Op(new TypeIndex(k), request, exchange).start();
+        Op op = new Op(new TypeIndex(k), request, exchange);
+        if (!still) {
+            op.start();
+        } else if (held.size() < IN_HAND_MOST) {
+            held.add(op::start);
+        } else {
+            exchange.answer(refusal(503, "full"));
+        }
     }
 
     private static HttpMessage refusal(int status, String why) {
@@ -125,7 +155,9 @@
 
         void start() {
             tally.came(type);
-            if (inHand >= IN_HAND_MOST) {
+            if (link.now() >= until) {
+                exchange.answer(refusal(504, "timeout")); // it waited here for longer than its client does
+            } else if (inHand >= IN_HAND_MOST) {
                 exchange.answer(refusal(503, "full"));
             } else if (!router.admit(type, link.now())) {
                 exchange.answer(refusal(429, "level"));
