--- a/src/main/java/stonespring/cli/Commands.java
+++ b/src/main/java/stonespring/cli/Commands.java
@@ -7,7 +7,7 @@
 @Command(name = "stonespring", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
         description = "Directs the traffic of a fleet of sidecars.", synopsisSubcommandLabel = "COMMAND",
         subcommands = {Serve.class, Check.class, Snapshot.class, DayCommand.class, TaskCommand.class,
-            ProxyCommand.class, RegistryCommand.class, SimHostCommand.class})
+            ProxyCommand.class, RegistryCommand.class, MeasureCommand.class, SimHostCommand.class})
 public final class Commands {
     static final class Version implements CommandLine.IVersionProvider {
         @Override public String[] getVersion() {
--- a/src/main/java/stonespring/daemon/Core.java
+++ b/src/main/java/stonespring/daemon/Core.java
@@ -6,6 +6,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.TreeSet;
+import org.HdrHistogram.Histogram;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import stonespring.front.Intake;
@@ -37,6 +38,7 @@
 public final class Core {
     private static final Logger LOG = LoggerFactory.getLogger(Core.class);
     private static final long STATUS_EVERY = Tenths.SECOND; // 0.1 ms; a person and a probe look no oftener
+    private static final long ANSWER_MOST = 600 * Tenths.SECOND; // 0.1 ms; the histogram's end, longer counts as that
     private static final int CAUSES_MOST = 8; // causes told in one log line
 
     private record Timer(long at, long count, TimerToken token) {
@@ -55,6 +57,7 @@
             new PriorityQueue<>(java.util.Comparator.comparingLong(Timer::at).thenComparing(Timer::count));
     private final Set<TaskId> listed = new HashSet<>();
     private final TreeSet<String> ready = new TreeSet<>();
+    private final Histogram answers = new Histogram(ANSWER_MOST, 2);
     private final List<String> causes = new ArrayList<>();
     private int moreCauses;
     private long timerCount;
@@ -162,10 +165,12 @@
         if (id == null) {
             from.end("answer: proxy " + proxy + " never joined on this connection");
         } else if (published.origin(id).equals(stream)) {
-            if (!published.answer(id, mark)) {
+            long orderedAt = published.answer(id, mark);
+            if (orderedAt < 0) {
                 from.end("answer: mark " + mark + " was never set for proxy " + proxy);
                 return;
             }
+            answers.recordValue(Math.min(ANSWER_MOST, Math.max(0, now - orderedAt)));
             tell(now, new Event.Answered(id, new MarkId(mark), took), "answer " + proxy);
         }
     }
@@ -272,7 +277,8 @@
                 + channel.backlog() + ",\"backlog_high\":" + channel.backlogHigh() + ",\"backlog_limit\":"
                 + settings.backlogLines() + ",\"messages_high\":" + channel.messagesHigh() + ",\"messages_limit\":"
                 + settings.messagesMost() + ",\"merged\":" + channel.merged() + ",\"reports_left_out\":"
-                + (reports.leftOut() + unknownReports) + ",\"decisions\":" + finishes + "}";
+                + (reports.leftOut() + unknownReports) + ",\"decisions\":" + finishes + ",\"answer_ms_p50\":"
+                + answers.getValueAtPercentile(50) / 10.0 + ",\"answer_ms_p99\":" + answers.getValueAtPercentile(99) / 10.0 + "}";
     }
 
     public int proxiesHere() {
--- a/src/main/java/stonespring/lab/AssignerProcess.java
+++ b/src/main/java/stonespring/lab/AssignerProcess.java
@@ -20,8 +20,10 @@
     AssignerProcess(Path script, int port, int registryPort, Path saved, Path log) {
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(List.of("-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "stonespring.Main", "serve",
-                script.toString(), "--port", String.valueOf(port), "--registry-port", String.valueOf(registryPort),
-                "--saved-list", saved.toString()));
+                script.toString(), "--port", String.valueOf(port), "--saved-list", saved.toString()));
+        if (registryPort > 0) {
+            command.addAll(List.of("--registry-port", String.valueOf(registryPort)));
+        }
         this.log = log;
         this.port = port;
     }
@@ -51,6 +53,16 @@
         return process.waitFor(8, TimeUnit.SECONDS);
     }
 
+    /** What it holds in memory now, bytes; by the system's own account. */
+    long residentBytes() throws IOException {
+        for (String line : java.nio.file.Files.readAllLines(Path.of("/proc/" + process.pid() + "/status"))) {
+            if (line.startsWith("VmRSS:")) {
+                return Long.parseLong(line.replaceAll("[^0-9]", "")) * 1024;
+            }
+        }
+        throw new IOException("the system tells no resident memory");
+    }
+
     boolean alive() {
         return process != null && process.isAlive();
     }
--- a/src/main/java/stonespring/state/Published.java
+++ b/src/main/java/stonespring/state/Published.java
@@ -2,6 +2,8 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import stonespring.model.ProxyId;
@@ -27,10 +29,10 @@
 
     private static final class Stream {
         private int commits;
-        private final java.util.LinkedHashSet<Integer> marks = new java.util.LinkedHashSet<>();
+        private final LinkedHashMap<Integer, Long> marks = new LinkedHashMap<>();
     }
 
-    private final Map<Integer, Stream> streams = new java.util.HashMap<>();
+    private final Map<Integer, Stream> streams = new HashMap<>();
 
     public Published(KeyTree keys, String epoch, Presence presence) {
         this.keys = keys;
@@ -64,9 +66,9 @@
         int at = ++stream.commits;
         if (message.mark() != null) {
             if (stream.marks.size() >= MARKS_MOST) {
-                stream.marks.remove(stream.marks.iterator().next());
+                stream.marks.remove(stream.marks.keySet().iterator().next());
             }
-            stream.marks.add(message.mark().number());
+            stream.marks.put(message.mark().number(), message.orderedAt());
         }
         String commit = "{\"origin\":\"" + origin(message.proxy()) + "\",\"at\":" + at + ",\"keys\":" + updates.size()
                 + (message.mark() == null ? "" : ",\"mark\":" + message.mark().number()) + "}";
@@ -98,10 +100,11 @@
         return updates;
     }
 
-    /** Whether this mark was set for the proxy's stream and not answered yet; it is answered by this. */
-    public boolean answer(ProxyId proxy, int mark) {
+    /** When the message with this mark was ordered; -1 where it was never set for this stream, or answered already. */
+    public long answer(ProxyId proxy, int mark) {
         Stream stream = streams.get(proxy.number());
-        return stream != null && stream.marks.remove(mark);
+        Long orderedAt = stream == null ? null : stream.marks.remove(mark);
+        return orderedAt == null ? -1 : orderedAt;
     }
 
     public List<Update> status(String json) {
