--- a/src/main/java/stonespring/chp/Publisher.java
+++ b/src/main/java/stonespring/chp/Publisher.java
@@ -1,6 +1,7 @@
 package stonespring.chp;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.EventLoop;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -76,11 +77,7 @@
     /** Sends updates to all that want them, in order; from any thread. */
     void publish(List<? extends ChpMessage> updates) {
         loop.execute(() -> {
-            Set<ZmtpPeer> written = new LinkedHashSet<>();
-            for (ChpMessage update : updates) {
-                send(update, written);
-            }
-            written.forEach(ZmtpPeer::flush);
+            send(updates);
             sentSinceBeat |= !updates.isEmpty();
         });
     }
@@ -88,17 +85,35 @@
     /** HUGZ, where nothing else went out since the last beat. */
     void beat() {
         if (!sentSinceBeat) {
-            Set<ZmtpPeer> written = new LinkedHashSet<>();
-            send(new ChpMessage.Hugz(), written);
-            written.forEach(ZmtpPeer::flush);
+            send(List.of(new ChpMessage.Hugz()));
         }
         sentSinceBeat = false;
     }
 
-    private void send(ChpMessage update, Set<ZmtpPeer> written) {
-        List<byte[]> frames = update.frames();
-        String topic = new String(frames.get(0), StandardCharsets.ISO_8859_1);
+    /** What goes to one peer goes as one piece: a write for each update costs more than all else here together. */
+    private void send(List<? extends ChpMessage> updates) {
+        Map<ZmtpPeer, ByteBuf> pieces = new LinkedHashMap<>();
         List<ZmtpPeer> peers = new ArrayList<>();
+        for (ChpMessage update : updates) {
+            List<byte[]> frames = update.frames();
+            peers.clear();
+            wanting(new String(frames.get(0), StandardCharsets.ISO_8859_1), peers);
+            for (ZmtpPeer peer : peers) {
+                ByteBuf piece = pieces.get(peer);
+                if (piece == null) {
+                    pieces.put(peer, piece = PooledByteBufAllocator.DEFAULT.buffer());
+                }
+                Wire.append(piece, frames);
+            }
+        }
+        pieces.forEach((peer, piece) -> {
+            peer.write(piece);
+            peer.flush();
+        });
+    }
+
+    /** Adds every peer that wants this topic, each once. */
+    private void wanting(String topic, List<ZmtpPeer> peers) {
         Set<ZmtpPeer> seen = null;
         for (int length : lengths.keySet()) {
             if (length > topic.length()) {
@@ -117,14 +132,5 @@
                 }
             }
         }
-        if (peers.isEmpty()) {
-            return;
-        }
-        ByteBuf bytes = Wire.message(io.netty.buffer.PooledByteBufAllocator.DEFAULT, frames);
-        for (ZmtpPeer peer : peers) {
-            peer.write(bytes.retainedDuplicate());
-            written.add(peer);
-        }
-        bytes.release();
     }
 }
--- a/src/main/java/stonespring/zmtp/Wire.java
+++ b/src/main/java/stonespring/zmtp/Wire.java
@@ -27,10 +27,15 @@
             size += frame.length + (frame.length > 255 ? 9 : 2);
         }
         ByteBuf out = allocator.buffer(size);
+        append(out, frames);
+        return out;
+    }
+
+    /** Adds one message to bytes that go out together. */
+    public static void append(ByteBuf out, List<byte[]> frames) {
         for (int i = 0; i < frames.size(); i++) {
             frame(out, i + 1 < frames.size() ? ZmtpDecoder.MORE : 0, frames.get(i));
         }
-        return out;
     }
 
     private static void frame(ByteBuf out, int flags, byte[] body) {
