--- a/src/main/java/stonespring/daemon/Core.java
+++ b/src/main/java/stonespring/daemon/Core.java
@@ -288,8 +288,4 @@
     public long decisions() {
         return finishes;
     }
-
-    public boolean channelEmpty() {
-        return channel.isEmpty();
-    }
 }
--- a/src/main/java/stonespring/state/Presence.java
+++ b/src/main/java/stonespring/state/Presence.java
@@ -159,7 +159,7 @@
         return claim != null && claim.connection == connection ? claim.id : null;
     }
 
-    public boolean isHere(ProxyId proxy) {
+    boolean isHere(ProxyId proxy) {
         Claim claim = byNumber.get(proxy.number());
         return claim != null && claim.here();
     }
