--- a/src/main/java/stonespring/cli/TaskCommand.java
+++ b/src/main/java/stonespring/cli/TaskCommand.java
@@ -1,5 +1,6 @@
 package stonespring.cli;
 
+import java.util.List;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
@@ -7,16 +8,16 @@
 import stonespring.lab.StandIns;
 
 @Command(name = "task", mixinStandardHelpOptions = true,
-        description = "Runs a stand-in task: POST /op/TYPE with headers x-op and x-try, a load report in each answer.")
+        description = "Runs stand-in tasks: POST /op/TYPE with headers x-op and x-try, a load report in each answer.")
 final class TaskCommand implements Callable<Integer> {
-    @Option(names = "--port", defaultValue = "0", description = "Its port; 0 takes a free one.")
+    @Option(names = "--port", defaultValue = "9101", description = "The first one's port, the others follow (${DEFAULT-VALUE}).")
     private int port;
 
-    @Option(names = "--name", defaultValue = "t1", description = "Its name (${DEFAULT-VALUE}).")
-    private String name;
+    @Option(names = "--count", defaultValue = "1", description = "How many, named m1, m2 and so on (${DEFAULT-VALUE}).")
+    private int count;
 
-    @Option(names = "--zone", defaultValue = "west", description = "Its zone (${DEFAULT-VALUE}).")
-    private String zone;
+    @Option(names = "--zone", split = ",", defaultValue = "west", description = "Their zones, by turns (${DEFAULT-VALUE}).")
+    private List<String> zones;
 
     @Option(names = "--cores", defaultValue = "2", description = "Cores (${DEFAULT-VALUE}).")
     private int cores;
@@ -31,7 +32,12 @@
 
     @Override public Integer call() throws Exception {
         logs.set();
-        System.out.println("task " + StandIns.task(name, zone, port, cores, workMillis, cold));
+        if (count < 1 || port < 1 || port + count > 65536) {
+            return Exit.fail(Exit.USAGE, "--port and --count do not fit 1 to 65535");
+        }
+        for (int i = 0; i < count; i++) {
+            System.out.println("task " + StandIns.task("m" + (i + 1), zones.get(i % zones.size()), port + i, cores, workMillis, cold));
+        }
         Thread.currentThread().join();
         return Exit.GOOD;
     }
