HUGZ goes to every subscriber that heard nothing, whatever others heard

Cause: the sign of life was left out when anything at all was published; the status goes out each second, so that a follower of a quiet subtree took a living assigner for dead and dialled again every three seconds. Change: what was written is remembered by subscriber; a test with a busy and a quiet follower on a stock library.

--- a/src/main/java/stonespring/chp/Publisher.java
+++ b/src/main/java/stonespring/chp/Publisher.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,7 +26,7 @@
     private final Map<String, Map<ZmtpPeer, Integer>> wanted = new HashMap<>();
     private final TreeMap<Integer, Integer> lengths = new TreeMap<>();
     private final Map<ZmtpPeer, Set<String>> byPeer = new HashMap<>();
-    private boolean sentSinceBeat;
+    private final Set<ZmtpPeer> writtenSinceBeat = new HashSet<>();
 
     Publisher(EventLoop loop) {
         this.loop = loop;
@@ -68,6 +69,7 @@
     }
 
     @Override public void closed(ZmtpPeer peer) {
+        writtenSinceBeat.remove(peer);
         Set<String> prefixes = byPeer.remove(peer);
         if (prefixes != null) {
             prefixes.forEach(prefix -> remove(peer, prefix));
@@ -76,18 +78,21 @@
 
     /** Sends updates to all that want them, in order; from any thread. */
     void publish(List<? extends ChpMessage> updates) {
-        loop.execute(() -> {
-            send(updates);
-            sentSinceBeat |= !updates.isEmpty();
-        });
+        loop.execute(() -> send(updates));
     }
 
-    /** HUGZ, where nothing else went out since the last beat. */
+    /**
+     * HUGZ to every subscriber to whom nothing else went since the last beat. What went to others is no sign of life
+     * to it: a follower of a quiet subtree once took a busy server for dead.
+     */
     void beat() {
-        if (!sentSinceBeat) {
-            send(List.of(new ChpMessage.Hugz()));
+        List<byte[]> hugz = new ChpMessage.Hugz().frames();
+        for (ZmtpPeer peer : wanted.getOrDefault("HUGZ", Map.of()).keySet()) {
+            if (!writtenSinceBeat.contains(peer)) {
+                peer.sendNow(hugz);
+            }
         }
-        sentSinceBeat = false;
+        writtenSinceBeat.clear();
     }
 
     /** What goes to one peer goes as one piece: a write for each update costs more than all else here together. */
@@ -109,6 +114,7 @@
         pieces.forEach((peer, piece) -> {
             peer.write(piece);
             peer.flush();
+            writtenSinceBeat.add(peer);
         });
     }
 
--- a/src/test/java/stonespring/chp/StockClientTest.java
+++ b/src/test/java/stonespring/chp/StockClientTest.java
@@ -121,6 +121,31 @@
         }
     }
 
+    /** The server's own status goes out each second; whoever follows something else must still hear that it lives. */
+    @Test void aFollowerOfAQuietSubtreeHearsThatABusyServerLives(@TempDir Path folder) throws Exception {
+        Files.writeString(folder.resolve("tasks.json"), TASKS);
+        Files.writeString(folder.resolve("settings.star"), SCRIPT);
+        Daemon daemon = new Daemon(AssignerSettings.read(folder.resolve("settings.star")));
+        daemon.start();
+        try (ZContext context = new ZContext()) {
+            ZMQ.Socket quiet = context.createSocket(SocketType.SUB);
+            quiet.setReceiveTimeOut(WAIT);
+            quiet.subscribe("/proxy/nobody/");
+            quiet.subscribe("HUGZ");
+            quiet.connect("tcp://127.0.0.1:" + (daemon.port() + 1));
+            ZMQ.Socket busy = context.createSocket(SocketType.SUB);
+            busy.setReceiveTimeOut(WAIT);
+            busy.subscribe("/assigner/");
+            busy.connect("tcp://127.0.0.1:" + (daemon.port() + 1));
+            for (int i = 0; i < 3; i++) {
+                assertEquals("/assigner/status", text(ZMsg.recvMsg(busy), 0));
+                assertEquals("HUGZ", text(ZMsg.recvMsg(quiet), 0));
+            }
+        } finally {
+            daemon.stop();
+        }
+    }
+
     private static long sequence(ZMsg message) {
         return ByteBuffer.wrap(message.toArray(new org.zeromq.ZFrame[0])[1].getData()).getLong();
     }
