A stand-in task called by hand may lack headers

Cause: a call without x-try failed inside the task and hung. Change: missing or odd numbers in headers have stated values.

--- a/src/main/java/stonespring/lab/TaskStandIn.java
+++ b/src/main/java/stonespring/lab/TaskStandIn.java
@@ -188,7 +188,7 @@
         }
         double now = evidence.now();
         String type = request.second().substring(request.second().lastIndexOf('/') + 1);
-        int tryNumber = Integer.parseInt(request.header("x-try"));
+        int tryNumber = whole(request.header("x-try"), 1);
         String op = request.header("x-op");
         evidence.add(new Evidence.Arrival(now, id(), request.header("x-proxy"), op, type, tryNumber));
         double work = make.workMillis().getOrDefault(type, make.otherMillis()) * (0.5 + random.nextDouble());
@@ -200,13 +200,17 @@
         } else if (queue.size() >= make.queue()) {
             answer(exchange, HttpMessage.answer(503, "full\n").with(Proxy.NOT_RUN, "1"));
         } else {
-            String asked = request.header("x-op-timeout-ms");
-            double until = now + (asked.isEmpty() ? 1e9 : Double.parseDouble(asked));
+            double until = now + whole(request.header("x-op-timeout-ms"), Integer.MAX_VALUE);
             queue.add(new Job(op, type, tryNumber, work, until, exchange));
             next();
         }
     }
 
+    /** A header's whole number; who calls a task by hand may leave it out. */
+    private static int whole(String header, int otherwise) {
+        return header.matches("[0-9]{1,9}") ? Integer.parseInt(header) : otherwise;
+    }
+
     /** A cold task that is sent more than a multiple of what it can do, over a window, falls and stays down. */
     private boolean falls(double now, double work) {
         if (warmth() >= 1) {
