--- a/src/main/java/stonespring/chp/ChpBackend.java
+++ b/src/main/java/stonespring/chp/ChpBackend.java
@@ -15,7 +15,4 @@
 
     /** A collector's connection ended. */
     void collectorClosed(ZmtpPeer peer);
-
-    /** A connection to the snapshot port ended. */
-    void snapshotClosed(ZmtpPeer peer);
 }
--- a/src/main/java/stonespring/chp/ChpServer.java
+++ b/src/main/java/stonespring/chp/ChpServer.java
@@ -150,10 +150,6 @@
         @Override public void message(ZmtpPeer peer, List<byte[]> frames) {
             backend.snapshotAsked(peer, ChpMessage.readAsk(frames).subtree());
         }
-
-        @Override public void closed(ZmtpPeer peer) {
-            backend.snapshotClosed(peer);
-        }
     }
 
     private final class Collector implements ZmtpEvents {
--- a/src/main/java/stonespring/cli/ProxyCommand.java
+++ b/src/main/java/stonespring/cli/ProxyCommand.java
@@ -13,11 +13,10 @@
 import picocli.CommandLine.Parameters;
 import stonespring.config.AssignerSettings;
 import stonespring.config.ScriptException;
+import stonespring.lab.StandIns;
 import stonespring.model.OpType;
-import stonespring.model.Settings;
 import stonespring.proxy.Proxy;
 import stonespring.proxy.ProxySettings;
-import stonespring.proxy.routing.Repeat;
 import stonespring.proxy.routing.RouterSettings;
 
 @Command(name = "proxy", mixinStandardHelpOptions = true,
@@ -59,16 +58,9 @@
             int at = Integer.parseInt(assigner.substring(assigner.indexOf(':') + 1));
             ports.add(new ProxySettings.Ports(assigner.substring(0, assigner.indexOf(':')), at, at + 1, at + 2));
         }
-        Settings s = of.settings();
-        List<RouterSettings.Type> types = new ArrayList<>();
-        for (int k = 0; k < s.opTypes().size(); k++) {
-            OpType type = s.opTypes().get(k);
-            types.add(new RouterSettings.Type(of.opTypeNames().get(k), Repeat.valueOf(type.repeat().name()), type.targetLatency()));
-        }
-        RouterSettings router = new RouterSettings(types, s.shunAfter(), 26_000, 64_000, 500, RouterSettings.Picks.TWO,
-                RouterSettings.Levels.valueOf(s.levelKind().name()));
+        RouterSettings router = StandIns.routing(of, OpType::targetLatency);
         ProxySettings settings = new ProxySettings(name, zone, System.nanoTime(), router,
-                of.opTimeouts().stream().map(t -> t / 10).toList(), List.of(), ports, 1, 0, s.sumsEvery() / 10, 3_000, 300, 1_500, 3);
+                StandIns.opTimeouts(of), List.of(), ports, 1, 0, of.settings().sumsEvery() / 10, 3_000, 300, 1_500, 3);
         MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         Proxy proxy = new Proxy(settings, (EventLoop) loops.next()).start(loops, port);
         System.out.println("proxy " + name + " 127.0.0.1:" + proxy.port());
--- a/src/main/java/stonespring/config/AssignerSettings.java
+++ b/src/main/java/stonespring/config/AssignerSettings.java
@@ -64,7 +64,8 @@
                 from, savedList == null ? saved : savedList, bounds);
     }
 
-    static AssignerSettings decode(Section top, Path file) {
+    /** Decodes the instance's part of a script that holds more; faults go to the section's list. */
+    public static AssignerSettings decode(Section top, Path file) {
         Section assigner = top.section("assigner", false);
         String name = assigner.text("name", NAME, "assigner");
         String host = assigner.text("host", "[0-9a-zA-Z.:-]{1,100}", "127.0.0.1");
--- a/src/main/java/stonespring/front/chp/ChpFront.java
+++ b/src/main/java/stonespring/front/chp/ChpFront.java
@@ -126,8 +126,4 @@
             intake.closed(source);
         }
     }
-
-    @Override public void snapshotClosed(ZmtpPeer peer) {
-        // A snapshot in the making for it goes nowhere; nothing else hangs on this connection.
-    }
 }
--- a/src/main/java/stonespring/lab/ClientStandIn.java
+++ b/src/main/java/stonespring/lab/ClientStandIn.java
@@ -59,10 +59,6 @@
         opsPerSecond = ops;
     }
 
-    double rate() {
-        return opsPerSecond;
-    }
-
     /** The part of the op timeout after which clients give up. */
     void patience(double part) {
         patience = part;
--- a/src/main/java/stonespring/lab/Day.java
+++ b/src/main/java/stonespring/lab/Day.java
@@ -36,9 +36,9 @@
             "lost_answers");
 
     public static Day read(Path file) throws ScriptException {
-        AssignerSettings assigner = AssignerSettings.read(file);
         List<Fault> faults = new ArrayList<>();
         Section top = Section.of(file.toString(), Script.run(file), faults);
+        AssignerSettings assigner = AssignerSettings.decode(top, file);
         Section day = top.section("day", true);
         double seconds = day.number("seconds", 1, 3600, null);
         double ops = day.number("ops_per_s", 0.1, 100_000, null);
@@ -67,6 +67,7 @@
             troubles.add(trouble(t, seconds, assigner.zones().size()));
         }
         day.done();
+        top.done();
         if (!faults.isEmpty()) {
             throw new ScriptException(faults);
         }
--- a/src/main/java/stonespring/lab/DayRun.java
+++ b/src/main/java/stonespring/lab/DayRun.java
@@ -27,7 +27,6 @@
 import stonespring.model.Settings;
 import stonespring.proxy.Proxy;
 import stonespring.proxy.ProxySettings;
-import stonespring.proxy.routing.Repeat;
 import stonespring.proxy.routing.RouterSettings;
 import stonespring.proxy.routing.TaskName;
 import stonespring.zmtp.ZmtpLimits;
@@ -216,14 +215,8 @@
 
     private void startProxy(Seat seat) throws IOException, InterruptedException {
         Settings s = day.assigner().settings();
-        List<RouterSettings.Type> types = new ArrayList<>();
-        for (int k = 0; k < s.opTypes().size(); k++) {
-            types.add(new RouterSettings.Type(day.assigner().opTypeNames().get(k),
-                    Repeat.valueOf(s.opTypes().get(k).repeat().name()), (long) (day.dedupMillis() * 10)));
-        }
-        RouterSettings router = new RouterSettings(types, s.shunAfter(), 26_000, 64_000, 500, RouterSettings.Picks.TWO,
-                RouterSettings.Levels.valueOf(s.levelKind().name()));
-        List<Long> timeouts = day.assigner().opTimeouts().stream().map(t -> t / 10).toList();
+        RouterSettings router = StandIns.routing(day.assigner(), type -> (long) (day.dedupMillis() * 10));
+        List<Long> timeouts = StandIns.opTimeouts(day.assigner());
         ProxySettings settings = new ProxySettings(seat.name, day.assigner().zones().get(seat.zone), random.nextLong(), router,
                 timeouts, standing(seat.zone, s.standingLines()), seat.ports, seat.ops, 50, s.sumsEvery() / 10, SILENCE_MILLIS,
                 300, 1500, PRESENCE_SECONDS);
--- a/src/main/java/stonespring/lab/Evidence.java
+++ b/src/main/java/stonespring/lab/Evidence.java
@@ -30,7 +30,7 @@
     }
 
     /** A message's commit passed to a proxy. */
-    public record Commit(double at, String proxy, int lines) {
+    public record Commit(double at, String proxy) {
     }
 
     /** A proxy's presence passed to an assigner, or its stream broke. */
--- a/src/main/java/stonespring/lab/Measure.java
+++ b/src/main/java/stonespring/lab/Measure.java
@@ -101,8 +101,8 @@
     private static ProxySettings settings(AssignerSettings of, int i, int port) {
         List<RouterSettings.Type> types = of.opTypeNames().stream().map(n -> new RouterSettings.Type(n, Repeat.RETRYABLE, 0)).toList();
         RouterSettings router = new RouterSettings(types, 0, 0, 0, 500, RouterSettings.Picks.TWO, RouterSettings.Levels.SHARE);
-        return new ProxySettings("p" + i, of.zones().get(i % of.zones().size()), i, router, of.opTimeouts().stream().map(t -> t / 10)
-                .toList(), List.of(new TaskName("m1@127.0.0.1:9101")), List.of(new ProxySettings.Ports("127.0.0.1", port, port + 1,
+        return new ProxySettings("p" + i, of.zones().get(i % of.zones().size()), i, router, StandIns.opTimeouts(of),
+                List.of(new TaskName("m1@127.0.0.1:9101")), List.of(new ProxySettings.Ports("127.0.0.1", port, port + 1,
                 port + 2)), 2, 0, of.settings().sumsEvery() / 10, 10_000, 200, 400, 9);
     }
 
@@ -282,8 +282,5 @@
 
         @Override public void collectorClosed(ZmtpPeer peer) {
         }
-
-        @Override public void snapshotClosed(ZmtpPeer peer) {
-        }
     }
 }
--- a/src/main/java/stonespring/lab/StandIns.java
+++ b/src/main/java/stonespring/lab/StandIns.java
@@ -5,16 +5,45 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.function.ToLongFunction;
+import stonespring.config.AssignerSettings;
 import stonespring.discovery.Entries;
 import stonespring.discovery.FileSource;
+import stonespring.model.OpType;
+import stonespring.model.Settings;
+import stonespring.proxy.routing.Repeat;
+import stonespring.proxy.routing.RouterSettings;
 
 /** Stand-ins run by themselves, for trying things out by hand. */
 public final class StandIns {
+    private static final long SHUN_LEAST = 26_000; // 0.1 ms; as deployments' proxies keep away from a failing task
+    private static final long SHUN_MOST = 64_000; // 0.1 ms; as above
+    private static final long RETRY_LEAST = 500; // 0.1 ms; less is no time for a further try
+
     private StandIns() {
     }
 
+    /** How a proxy of these settings routes; {@code window}: how long tasks drop a repeat, tenths of a millisecond. */
+    public static RouterSettings routing(AssignerSettings of, ToLongFunction<OpType> window) {
+        Settings s = of.settings();
+        List<RouterSettings.Type> types = new ArrayList<>();
+        for (int k = 0; k < s.opTypes().size(); k++) {
+            OpType type = s.opTypes().get(k);
+            types.add(new RouterSettings.Type(of.opTypeNames().get(k), Repeat.valueOf(type.repeat().name()),
+                    window.applyAsLong(type)));
+        }
+        return new RouterSettings(types, s.shunAfter(), SHUN_LEAST, SHUN_MOST, RETRY_LEAST, RouterSettings.Picks.TWO,
+                RouterSettings.Levels.valueOf(s.levelKind().name()));
+    }
+
+    /** The settings' op timeouts as proxies take them, milliseconds. */
+    public static List<Long> opTimeouts(AssignerSettings of) {
+        return of.opTimeouts().stream().map(t -> t / 10).toList();
+    }
+
     /** A task at a port; its id as lists name it. */
     public static String task(String name, String zone, int port, int cores, double workMillis, boolean cold)
             throws IOException, InterruptedException {
--- a/src/main/java/stonespring/lab/WireTap.java
+++ b/src/main/java/stonespring/lab/WireTap.java
@@ -71,21 +71,13 @@
         for (List<byte[]> message : cutters.computeIfAbsent(pair, p -> new Cutter()).messages(bytes)) {
             String key = new String(message.get(0), StandardCharsets.UTF_8);
             if (message.size() == 5 && listener == 1 && key.equals("/proxy/" + proxy + "/commit") && message.get(4).length > 0) {
-                evidence.add(new Evidence.Commit(evidence.now(), proxy, keys(message.get(4))));
+                evidence.add(new Evidence.Commit(evidence.now(), proxy));
             } else if (listener == 2 && key.equals("/presence/" + proxy) && here.put(pair, true) == null) {
                 evidence.add(new Evidence.Stream(evidence.now(), proxy, true));
             }
         }
     }
 
-    private static int keys(byte[] commit) {
-        try {
-            return JSON.readTree(commit).path("keys").asInt();
-        } catch (IOException e) {
-            return -1;
-        }
-    }
-
     @Override public void ended(int listener, long pair) {
         cutters.remove(pair);
         if (here.remove(pair) != null) {
--- a/src/test/java/stonespring/chp/StockClientTest.java
+++ b/src/test/java/stonespring/chp/StockClientTest.java
@@ -44,6 +44,14 @@
              {"id": "c", "address": "127.0.0.1:3", "zone": "west"}]
             """;
 
+    private static Daemon started(Path folder) throws Exception {
+        Files.writeString(folder.resolve("tasks.json"), TASKS);
+        Files.writeString(folder.resolve("settings.star"), SCRIPT);
+        Daemon daemon = new Daemon(AssignerSettings.read(folder.resolve("settings.star")));
+        daemon.start();
+        return daemon;
+    }
+
     private static String text(ZMsg message, int frame) {
         return message.toArray(new org.zeromq.ZFrame[0])[frame].getString(StandardCharsets.UTF_8);
     }
@@ -59,10 +67,7 @@
     }
 
     @Test void aStockClientSnapshotsFollowsSetsAndExpiresAKey(@TempDir Path folder) throws Exception {
-        Files.writeString(folder.resolve("tasks.json"), TASKS);
-        Files.writeString(folder.resolve("settings.star"), SCRIPT);
-        Daemon daemon = new Daemon(AssignerSettings.read(folder.resolve("settings.star")));
-        daemon.start();
+        Daemon daemon = started(folder);
         try (ZContext context = new ZContext()) {
             ZMQ.Socket updates = context.createSocket(SocketType.SUB);
             updates.setReceiveTimeOut(WAIT);
@@ -123,10 +128,7 @@
 
     /** The server's own status goes out each second; whoever follows something else must still hear that it lives. */
     @Test void aFollowerOfAQuietSubtreeHearsThatABusyServerLives(@TempDir Path folder) throws Exception {
-        Files.writeString(folder.resolve("tasks.json"), TASKS);
-        Files.writeString(folder.resolve("settings.star"), SCRIPT);
-        Daemon daemon = new Daemon(AssignerSettings.read(folder.resolve("settings.star")));
-        daemon.start();
+        Daemon daemon = started(folder);
         try (ZContext context = new ZContext()) {
             ZMQ.Socket quiet = context.createSocket(SocketType.SUB);
             quiet.setReceiveTimeOut(WAIT);
--- a/src/test/java/stonespring/lab/ObserverTest.java
+++ b/src/test/java/stonespring/lab/ObserverTest.java
@@ -114,11 +114,11 @@
 
     @Test void tooManyMessagesToOneProxy() {
         for (int i = 0; i < 3; i++) {
-            evidence.add(new Evidence.Commit(i, "p", 1));
-            evidence.add(new Evidence.Commit(11_000 + i, "p", 1));
+            evidence.add(new Evidence.Commit(i, "p"));
+            evidence.add(new Evidence.Commit(11_000 + i, "p"));
         }
         kept();
-        evidence.add(new Evidence.Commit(11_500, "p", 1));
+        evidence.add(new Evidence.Commit(11_500, "p"));
         broken("rule 5: at 11500 ms proxy p had 4 messages");
     }
 
