Where tasks come from is decoded once

Cause: the section 'tasks' was read twice, once for the source and once for whether the list must be asked. Change: the second follows from the first. Behaviour stays.

--- a/src/main/java/stonespring/config/AssignerSettings.java
+++ b/src/main/java/stonespring/config/AssignerSettings.java
@@ -99,8 +99,8 @@
                     type.number("benefit", 0, 1e6, 1.0)));
             type.done();
         }
-        Settings settings = settings(top, zones, types, assigners, standing, proxies, shun);
         Source source = source(top, file);
+        Settings settings = settings(top, zones, types, source instanceof Source.FromRegistry, assigners, standing, proxies, shun);
         Section bounds = top.section("bounds", false);
         Bounds limits = new Bounds(bounds.whole("proxies", 1, 65_000, 20_000),
                 bounds.whole("connections", 1, 65_000, 10_000),
@@ -115,8 +115,8 @@
         return file.toAbsolutePath().resolveSibling(path).normalize();
     }
 
-    private static Settings settings(Section top, List<String> zones, List<OpType> types, int assigners, int standing,
-                                     int proxies, int shun) {
+    private static Settings settings(Section top, List<String> zones, List<OpType> types, boolean asks, int assigners,
+                                     int standing, int proxies, int shun) {
         Section channel = top.section("channel", true);
         int backlog = channel.whole("backlog_lines", 10, 100_000_000, null);
         int head = channel.whole("message_head_lines", 0, 10_000, 10);
@@ -139,7 +139,6 @@
         double worst = prices.number("worst_op_type", 0, 1, 0.0);
         prices.done();
         String levels = top.word("levels", List.of("share", "rate", "none"), "share");
-        boolean asks = top.section("tasks", true).word("from", List.of("file", "registry"), null).equals("registry");
         return new Settings(assigners, zones.size(), List.copyOf(types), asks,
                 Settings.LevelKind.valueOf(levels.toUpperCase(java.util.Locale.ROOT)), backlog, head, messages, over, pace,
                 empty, standing, proxies, every, false, crossZone, cold, coldShare, fall, worst, stay, shun);
