The assigner serves on the operators' platform: lines on Netty, its front, its list, a daemon

Change: packages `line` (CR LF messages, strangers few and short) and `front.line` (words to events, orders to CONFIG); InstancesSource with a watch that may move; HttpWatch passes on chunks of an answer that never ends; PlatformFile and PlatformDaemon, one thread for all; command `assigner`; `run` and `node`. Fixed on the way: the instance's clock started at a second, so that what had started long before an assigner was cold to it.

--- /dev/null
+++ b/src/main/java/stonespring/cli/AssignerCommand.java
@@ -0,0 +1,66 @@
+package stonespring.cli;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Parameters;
+import stonespring.config.PlatformFile;
+import stonespring.daemon.PlatformDaemon;
+import sun.misc.Signal;
+
+@Command(name = "assigner", mixinStandardHelpOptions = true,
+        description = "Runs an assigner on the operators' platform until it is told to stop.")
+final class AssignerCommand implements Callable<Integer> {
+    private static final Logger LOG = LoggerFactory.getLogger(AssignerCommand.class);
+
+    @Parameters(paramLabel = "FILE", defaultValue = "${env:NODE_CONFIG}",
+            description = "The platform's configuration; NODE_CONFIG names it where this is left out.")
+    private Path path;
+
+    @Mixin private Logs logs;
+
+    @Override public Integer call() throws Exception {
+        logs.set();
+        if (path == null || path.toString().isEmpty()) {
+            return Exit.fail(Exit.USAGE, "NODE_CONFIG: it is not set, and no file is named");
+        }
+        PlatformFile file;
+        try {
+            file = PlatformFile.read(path);
+        } catch (PlatformFile.BadFile e) {
+            return Exit.fail(Exit.USAGE, e.getMessage());
+        }
+        PlatformDaemon daemon = new PlatformDaemon(file);
+        // Without a handler of ours a hang-up ends the process; it must stand before anyone can reach us.
+        Signal.handle(new Signal("HUP"), signal -> reload(daemon));
+        AtomicBoolean told = new AtomicBoolean();
+        Thread hook = new Thread(() -> {
+            told.set(true);
+            try {
+                daemon.stop();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "stop");
+        Runtime.getRuntime().addShutdownHook(hook);
+        daemon.start();
+        Throwable failure = daemon.awaitEnd();
+        if (told.get()) {
+            hook.join();
+            return Exit.GOOD;
+        }
+        return Exit.fail(Exit.FAILED, "assigner: " + failure);
+    }
+
+    private void reload(PlatformDaemon daemon) {
+        try {
+            daemon.reloaded(PlatformFile.read(path));
+        } catch (PlatformFile.BadFile e) {
+            LOG.warn("the new configuration is not used, the old one holds: {}", e.getMessage());
+        }
+    }
+}
--- a/src/main/java/stonespring/cli/Commands.java
+++ b/src/main/java/stonespring/cli/Commands.java
@@ -6,7 +6,7 @@
 /** The command line: one program, its parts by name. */
 @Command(name = "stonespring", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
         description = "Directs the traffic of a fleet of sidecars.", synopsisSubcommandLabel = "COMMAND",
-        subcommands = {Serve.class, Check.class, Snapshot.class, DayCommand.class, TaskCommand.class,
+        subcommands = {Serve.class, AssignerCommand.class, Check.class, Snapshot.class, DayCommand.class, TaskCommand.class,
             ProxyCommand.class, RegistryCommand.class, MeasureCommand.class, LoadCommand.class, SolveCommand.class,
             CompareCommand.class, SimHostCommand.class})
 public final class Commands {
--- a/src/main/java/stonespring/daemon/Core.java
+++ b/src/main/java/stonespring/daemon/Core.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.TreeSet;
 import org.HdrHistogram.Histogram;
@@ -19,7 +18,6 @@
 import stonespring.model.Settings;
 import stonespring.model.TaskId;
 import stonespring.model.Tenths;
-import stonespring.model.TimerToken;
 import stonespring.state.Hello;
 import stonespring.state.KeyTree;
 import stonespring.state.PacedChannel;
@@ -41,37 +39,29 @@
     private static final long ANSWER_MOST = 600 * Tenths.SECOND; // 0.1 ms; the histogram's end, longer counts as that
     private static final int CAUSES_MOST = 8; // causes told in one log line
 
-    private record Timer(long at, long count, TimerToken token) {
-    }
-
     private final Settings settings;
     private final Outside outside;
-    private final DecisionModule module;
+    private final Decisions decisions;
     private final Presence presence;
     private final Tables tables;
     private final Reports reports;
     private final PacedChannel channel;
     private final KeyTree keys;
     private final Published published;
-    private final PriorityQueue<Timer> timers =
-            new PriorityQueue<>(java.util.Comparator.comparingLong(Timer::at).thenComparing(Timer::count));
     private final Set<TaskId> listed = new HashSet<>();
     private final TreeSet<String> ready = new TreeSet<>();
     private final Histogram answers = new Histogram(ANSWER_MOST, 2);
     private final List<String> causes = new ArrayList<>();
     private int moreCauses;
-    private long timerCount;
     private long reportsAt;
     private long statusAt;
-    private boolean pendingEvents;
-    private long finishes;
     private long unknownReports;
 
     public Core(Settings settings, List<String> opTypeNames, CoreLimits limits, String epoch, long firstSequence,
                 DecisionModule module, Outside outside, long now) {
         this.settings = settings;
         this.outside = outside;
-        this.module = module;
+        this.decisions = new Decisions(module, outside);
         this.presence = new Presence(limits.proxies());
         this.tables = new Tables(opTypeNames);
         this.reports = new Reports(limits.reportPairs());
@@ -84,29 +74,16 @@
     }
 
     private void tell(long now, Event event, String cause) {
-        pendingEvents = true;
+        because(cause);
+        decisions.tell(now, event);
+    }
+
+    private void because(String cause) {
         if (causes.size() < CAUSES_MOST) {
             causes.add(cause);
         } else {
             moreCauses++;
         }
-        take(now, event);
-    }
-
-    private void take(long now, Event event) {
-        try {
-            module.take(now, event);
-        } catch (RuntimeException | StackOverflowError e) {
-            throw new DecisionFailed(e);
-        }
-    }
-
-    private List<Order> finish(long now) {
-        try {
-            return module.finish(now);
-        } catch (RuntimeException | StackOverflowError e) {
-            throw new DecisionFailed(e);
-        }
     }
 
     /** A proxy says that it is here, for {@code holds} from now. */
@@ -211,25 +188,22 @@
 
     /** Does all that is due by now, and says when something is due next. */
     public long run(long now) {
-        while (!timers.isEmpty() && timers.peek().at <= now) {
-            tell(now, new Event.TimerDue(timers.poll().token), "timer");
+        if (decisions.timersDue(now)) {
+            because("timer");
         }
         for (ProxyId id : presence.expire(now)) {
             gone(id, "its presence was not renewed", now);
         }
         if (now >= reportsAt) {
             List<Event> events = reports.drain();
-            events.forEach(event -> take(now, event));
+            events.forEach(event -> decisions.tell(now, event));
             if (!events.isEmpty()) {
-                pendingEvents = true;
-                causes.add("sums");
+                because("sums");
             }
             reportsAt = Math.max(reportsAt + settings.sumsEvery(), now + settings.sumsEvery() / 2);
         }
-        if (pendingEvents) {
-            pendingEvents = false;
-            finishes++;
-            carryOut(finish(now), now);
+        if (decisions.pending()) {
+            carryOut(decisions.finish(now), now);
             causes.clear();
             moreCauses = 0;
         }
@@ -241,28 +215,11 @@
             outside.publish(published.status(status()));
         }
         long next = Math.min(Math.min(reportsAt, statusAt), channel.nextAt());
-        return timers.isEmpty() ? next : Math.min(next, timers.peek().at);
+        return Math.min(next, decisions.nextTimer());
     }
 
     private void carryOut(List<Order> orders, long now) {
-        List<Order> forProxies = new ArrayList<>();
-        for (Order order : orders) {
-            if (order instanceof Order.SetTimer o) {
-                // Never in the moment that set it: the module could keep the loop busy for ever.
-                timers.add(new Timer(now + Math.max(1, o.delay()), timerCount++, o.token()));
-            } else if (order instanceof Order.FetchList) {
-                outside.fetchList();
-            } else if (order instanceof Order.FollowList o) {
-                outside.followList(o.on());
-            } else if (order instanceof Order.LogLine o) {
-                LOG.info("decision: {}", o.text());
-            } else if (order instanceof Order.Probe || order instanceof Order.TellPeer) {
-                LOG.warn("decision: {} is not carried out: settings that allow it are not offered", order);
-            } else {
-                forProxies.add(order);
-            }
-        }
-        List<ProxyMessage> messages = tables.messages(forProxies, now);
+        List<ProxyMessage> messages = tables.messages(orders, now);
         channel.offer(messages, now);
         if (!messages.isEmpty() && LOG.isDebugEnabled()) {
             String cause = String.join(", ", causes) + (moreCauses > 0 ? " and " + moreCauses + " more" : "");
@@ -280,7 +237,7 @@
                 + channel.backlog() + ",\"backlog_high\":" + channel.backlogHigh() + ",\"backlog_limit\":"
                 + settings.backlogLines() + ",\"messages_high\":" + channel.messagesHigh() + ",\"messages_limit\":"
                 + settings.messagesMost() + ",\"merged\":" + channel.merged() + ",\"reports_left_out\":"
-                + (reports.leftOut() + unknownReports) + ",\"decisions\":" + finishes + ",\"answer_ms_p50\":"
+                + (reports.leftOut() + unknownReports) + ",\"decisions\":" + decisions.finishes() + ",\"answer_ms_p50\":"
                 + answers.getValueAtPercentile(50) / 10.0 + ",\"answer_ms_p99\":" + answers.getValueAtPercentile(99) / 10.0 + "}";
     }
 
@@ -289,6 +246,6 @@
     }
 
     public long decisions() {
-        return finishes;
+        return decisions.finishes();
     }
 }
--- a/src/main/java/stonespring/daemon/InstanceClock.java
+++ b/src/main/java/stonespring/daemon/InstanceClock.java
@@ -5,11 +5,13 @@
  * follows the monotonic one, so that a wall clock that is set does not move the instance's time.
  */
 public final class InstanceClock {
-    private static final long FIRST = 10_000; // 0.1 ms; 0 means long ago in the list's times of start
+    // 0.1 ms, a day: a task's start before the clock's has a time above 0, which means long ago, and counts as warm;
+    // with a second here all that had started an hour before an assigner were cold to it.
+    private static final long FIRST = 24L * 3600 * 10_000;
 
     private final long nanosAtStart = System.nanoTime();
 
-    /** The wall clock's tenths at which this clock stood at 0, less the second that it starts with. */
+    /** The wall clock's tenths at which this clock stood at 0, less what it starts with. */
     private final long unixOffset = System.currentTimeMillis() * 10 - FIRST;
 
     public long now() {
--- /dev/null
+++ b/src/main/java/stonespring/daemon/PlatformDaemon.java
@@ -0,0 +1,200 @@
+package stonespring.daemon;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.Future;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import stonespring.config.PlatformFile;
+import stonespring.decision.Assigner;
+import stonespring.discovery.InstanceEntries;
+import stonespring.discovery.InstancesSource;
+import stonespring.front.Names;
+import stonespring.front.line.LineFront;
+import stonespring.line.LineLimits;
+import stonespring.line.LineListener;
+import stonespring.model.Event;
+import stonespring.model.Order;
+import stonespring.model.Settings;
+
+/**
+ * An assigner on the operators' platform: one thread for its sockets and its decisions, since it has a part of one core.
+ * What is read together is told together and finished once, no oftener than the settings' round. When the decisions fail
+ * they start anew with the list held and the proxies that are joined, a bounded number of times.
+ */
+public final class PlatformDaemon {
+    private static final Logger LOG = LoggerFactory.getLogger(PlatformDaemon.class);
+    private static final int LINE_BYTES = 16 << 10; // of a message that comes in; the longest has a few hundred
+    private static final int PENDING_BYTES = 64 << 10; // for one peer; over a hundred messages
+    private static final int STRANGER_MILLIS = 1_500; // ms; half of what a bad client is owed an end in
+    private static final int FILES = 56; // descriptors of the process itself, the listener and discovery's calls
+    private static final int COLLECTORS_A_ZONE = 5; // descriptors; as many as the front keeps, and one more
+    private static final int STRANGERS_LEAST = 8; // descriptors; some must get in to say who they are
+    private static final int STRANGERS_MOST = 256; // descriptors; more only cost memory
+    private static final int FAILURES_MOST = 10; // restarts of the decisions; more is no passing moment
+    private static final long STOP_MILLIS = 300; // ms; what was written is out long before
+
+    private final PlatformFile file;
+    private final InstanceClock clock = new InstanceClock();
+    private final MultiThreadIoEventLoopGroup sockets = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = (EventLoop) sockets.next();
+    private final LineFront front;
+    private final LineListener listener;
+    private final InstancesSource source;
+    private final CompletableFuture<Throwable> ended = new CompletableFuture<>();
+    private final List<Event> events = new ArrayList<>();
+    private final Outside outside;
+    private Decisions decisions;
+    private boolean momentDue;
+    private long lastMoment;
+    private long timerAt = Long.MAX_VALUE;
+    private Future<?> timer;
+    private int failures;
+
+    public PlatformDaemon(PlatformFile file) {
+        this.file = file;
+        Settings settings = file.facts().settings();
+        int reserved = settings.proxies() + COLLECTORS_A_ZONE * settings.zones() + FILES;
+        int strangers = Math.max(STRANGERS_LEAST, Math.min(STRANGERS_MOST, file.sockets() - reserved));
+        this.front = new LineFront(new Names(file.facts().zones(), file.facts().opTypes()), settings.proxies(), this::heard);
+        this.listener = new LineListener(new LineLimits(LINE_BYTES, strangers, STRANGER_MILLIS, PENDING_BYTES), front);
+        this.source = new InstancesSource(file.discovery(), new InstanceEntries(file.facts().zones(), clock.unixOffset()), loop);
+        this.outside = new Outside() {
+            @Override public void publish(List<stonespring.state.Update> updates) {
+                // This route publishes no keys.
+            }
+
+            @Override public void followList(boolean on) {
+                source.follow(on);
+            }
+
+            @Override public void fetchList() {
+                source.fetch();
+            }
+        };
+    }
+
+    /** Decides and then listens: whoever gets an answer finds an assigner that knows its list. */
+    public void start() throws InterruptedException {
+        loop.submit(() -> {
+            decisions = new Decisions(module(file.seed()), outside);
+            source.start(this::listTold, list -> { });
+            listTold(source.lastSeen(file.known()));
+            moment();
+        }).sync();
+        listener.start(sockets, file.listen());
+        LOG.info("assigner {} serves at {}, {} tasks known, {} proxies, room for {} strangers", file.name(), file.listen(),
+                source.held().size(), file.facts().settings().proxies(), listener.limits().strangers());
+    }
+
+    private Assigner module(long seed) {
+        return new Assigner(file.facts().settings(), seed, clock.now());
+    }
+
+    private void listTold(Event.ListTold told) {
+        front.listTold(told);
+        if (told.kind() != Event.ListKind.CHANGES) {
+            LOG.info("list {}: {} entries", told.kind(), told.entries().size());
+        }
+        heard(told);
+    }
+
+    private void heard(Event event) {
+        events.add(event);
+        wake();
+    }
+
+    private void wake() {
+        if (!momentDue) {
+            momentDue = true;
+            long wait = lastMoment + file.facts().round() - clock.now();
+            if (wait <= 0) {
+                loop.execute(this::moment); // after what was read together
+            } else {
+                loop.schedule(this::moment, wait * 100, TimeUnit.MICROSECONDS);
+            }
+        }
+    }
+
+    private void moment() {
+        momentDue = false;
+        long now = clock.now();
+        lastMoment = now;
+        List<Event> told = List.copyOf(events);
+        events.clear();
+        try {
+            decisions.timersDue(now);
+            told.forEach(event -> decisions.tell(now, event));
+            if (decisions.pending()) {
+                List<Order> orders = decisions.finish(now);
+                front.carryOut(orders, now);
+            }
+        } catch (DecisionFailed e) {
+            startAnew(e.getCause());
+        } catch (RuntimeException e) {
+            startAnew(e);
+        }
+        long next = decisions.nextTimer();
+        if (next != timerAt && next != Long.MAX_VALUE) {
+            if (timer != null) {
+                timer.cancel(false);
+            }
+            timerAt = next;
+            timer = loop.schedule(() -> {
+                timerAt = Long.MAX_VALUE;
+                wake();
+            }, Math.max(0, next - now) * 100, TimeUnit.MICROSECONDS);
+        }
+    }
+
+    /** One bad moment must not take the process down: all its proxies would lose their streams for it. */
+    private void startAnew(Throwable cause) {
+        if (++failures > FAILURES_MOST) {
+            LOG.error("the decisions failed {} times: the assigner ends", failures, cause);
+            ended.complete(cause);
+            return;
+        }
+        LOG.error("the decisions failed and start anew", cause);
+        events.clear();
+        decisions = new Decisions(module(file.seed() + failures), outside);
+        timerAt = Long.MAX_VALUE;
+        heard(new Event.ListTold(Event.ListKind.LAST_SEEN, source.held()));
+        front.startAnew();
+    }
+
+    /** The configuration was replaced: discovery may have moved, the rest needs a new start. */
+    public void reloaded(PlatformFile anew) {
+        if (!anew.facts().equals(file.facts()) || !anew.listen().equals(file.listen())) {
+            LOG.warn("the new configuration has other settings or another address to listen at: those need a restart");
+        }
+        source.moveTo(anew.discovery());
+    }
+
+    public int port() {
+        return listener.port();
+    }
+
+    /** Waits until the instance ends; what ended it, null where it was stopped. */
+    public Throwable awaitEnd() throws InterruptedException {
+        try {
+            return ended.get();
+        } catch (java.util.concurrent.ExecutionException e) {
+            return e.getCause();
+        }
+    }
+
+    /** Stops: no new connections, what was written goes out, all connections end. May be called once. */
+    public void stop() throws InterruptedException {
+        listener.stop();
+        source.stop();
+        loop.submit(() -> LOG.info("assigner {} stops: {} proxies, {} messages dropped", file.name(), front.proxiesHere(),
+                front.dropped())).await(STOP_MILLIS);
+        sockets.shutdownGracefully(0, STOP_MILLIS, TimeUnit.MILLISECONDS).await(STOP_MILLIS);
+        ended.complete(null);
+    }
+}
--- /dev/null
+++ b/src/main/java/stonespring/discovery/InstanceEntries.java
@@ -0,0 +1,125 @@
+package stonespring.discovery;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import stonespring.model.Event;
+import stonespring.model.Listing;
+import stonespring.model.TaskId;
+import stonespring.model.ZoneId;
+
+/**
+ * The platform's list of tasks: an object that holds a version, whether it is the whole list, and entries. An entry with
+ * a bad field is left out, and the one held of that task stays; what can't be read as an object at all is refused.
+ */
+public final class InstanceEntries {
+    /** One object of the list. */
+    record Told(long version, boolean whole, List<Listing> entries) {
+        Event.ListTold event() {
+            return new Event.ListTold(whole ? Event.ListKind.WHOLE : Event.ListKind.CHANGES, entries);
+        }
+    }
+
+    private static final double WEIGHT_MOST = 1e6; // a unitless number; more is a fault of whoever wrote it
+    private static final long UNIX_MOST = 1L << 53; // ms; exact in any JSON reader
+
+    private final List<String> zones;
+    private final long unixOffset;
+    private final Map<TaskId, Listing> held = new HashMap<>();
+    private long leftOut;
+
+    /**
+     * @param zones the settings' zones
+     * @param unixOffset what is taken off a time of the wall clock, in tenths of a millisecond, for the instance's clock
+     */
+    public InstanceEntries(List<String> zones, long unixOffset) {
+        this.zones = zones;
+        this.unixOffset = unixOffset;
+    }
+
+    /** Reads one object and holds what it says. */
+    Told read(JsonNode node) throws Entries.BadList {
+        if (node == null || !node.isObject()) {
+            throw new Entries.BadList("it is no object");
+        }
+        JsonNode version = node.path("seq");
+        JsonNode whole = node.path("whole");
+        JsonNode hosts = node.path("hosts");
+        if (!version.isIntegralNumber() || version.asLong() < 0) {
+            throw new Entries.BadList("field 'seq' is no version");
+        }
+        if (!whole.isBoolean()) {
+            throw new Entries.BadList("field 'whole' is neither true nor false");
+        }
+        if (!hosts.isArray() || hosts.size() > Entries.ENTRIES_MOST) {
+            throw new Entries.BadList("field 'hosts' is no list of at most " + Entries.ENTRIES_MOST + " entries");
+        }
+        Map<TaskId, Listing> before = whole.asBoolean() ? new HashMap<>(held) : held;
+        List<Listing> read = new ArrayList<>();
+        for (JsonNode host : hosts) {
+            Listing listing = listing(host);
+            if (listing == null) {
+                leftOut++;
+                listing = before.get(new TaskId(host.path("host").asText()));
+            }
+            if (listing != null) {
+                read.add(listing);
+            }
+        }
+        if (whole.asBoolean()) {
+            held.clear();
+        }
+        for (Listing listing : read) {
+            if (listing.state() == Listing.State.GONE) {
+                held.remove(listing.task());
+            } else {
+                held.put(listing.task(), listing);
+            }
+        }
+        return new Told(version.asLong(), whole.asBoolean(), read);
+    }
+
+    /** What is held now. */
+    List<Listing> list() {
+        return List.copyOf(held.values());
+    }
+
+    /** How many entries were left out for a bad field, ever. */
+    public long leftOut() {
+        return leftOut;
+    }
+
+    private Listing listing(JsonNode host) {
+        String name = host.path("host").isTextual() ? host.path("host").asText() : "";
+        Listing.State state = switch (host.path("health").asText()) {
+            case "Ready" -> Listing.State.READY;
+            case "Terminating" -> Listing.State.DRAINING;
+            case "Gone" -> Listing.State.GONE;
+            default -> null;
+        };
+        int zone = zones.indexOf(host.path("site").asText());
+        JsonNode weight = host.path("share");
+        JsonNode born = host.path("born_ms");
+        boolean bornWell = born.isMissingNode() || born.isNull()
+                || born.isNumber() && born.asDouble() >= 0 && born.asDouble() < UNIX_MOST;
+        boolean weighsWell = weight.isMissingNode() || weight.isNull()
+                || weight.isNumber() && weight.asDouble() >= 0 && weight.asDouble() < WEIGHT_MOST;
+        // Names go into orders as they are: what would break a line of the protocol is no name.
+        if (!name.matches("[!-+\\--9;-~]{1,200}") || state == null || !bornWell || !weighsWell) {
+            return null;
+        }
+        if (zone < 0) {
+            // What is gone may come without the rest.
+            Listing last = held.get(new TaskId(name));
+            if (state != Listing.State.GONE || last == null) {
+                return null;
+            }
+            zone = last.zone().index();
+        }
+        long unixMillis = (long) born.asDouble(0);
+        return new Listing(new TaskId(name), new ZoneId(zone), weight.asDouble(1), state,
+                unixMillis <= 0 ? 0 : Math.max(1, unixMillis * 10 - unixOffset));
+    }
+}
--- /dev/null
+++ b/src/main/java/stonespring/discovery/InstancesSource.java
@@ -0,0 +1,242 @@
+package stonespring.discovery;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.EventLoop;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import stonespring.http.HttpClient;
+import stonespring.http.HttpMessage;
+import stonespring.http.HttpWatch;
+import stonespring.model.Event;
+import stonespring.model.Listing;
+
+/**
+ * The platform's list of tasks: asked for whole, or watched by an answer that stays open and holds an object a line. A
+ * watch that breaks, ends, goes silent or says what can't be read is told as failed, and the decisions say when to ask
+ * again. The address may move: the new one is asked before the old one is let go. All of it lives on one event loop.
+ */
+public final class InstancesSource implements TaskSource {
+    private static final Logger LOG = LoggerFactory.getLogger(InstancesSource.class);
+    private static final String PATH = "/registry/instances";
+    private static final int CONNECT_MILLIS = 1_000; // ms; discovery is near
+    private static final int ANSWER_MILLIS = 2_500; // ms; discovery gives a call that waits up well before
+    private static final long SILENCE_MILLIS = 3_200; // ms; a quiet watch says an empty line every 2 s
+    private static final int LINE_MOST = 16 << 20; // bytes of an object; far above the most tasks of a list
+    private static final long MOVE_AGAIN_MILLIS = 300; // ms; the old address lasts no longer than a few of these
+    private static final ObjectMapper JSON = new ObjectMapper(JsonFactory.builder().streamReadConstraints(
+            StreamReadConstraints.builder().maxNestingDepth(16).maxStringLength(4096).build()).build());
+
+    private final InstanceEntries entries;
+    private final EventLoop loop;
+    private final HttpClient client;
+    private InetSocketAddress address;
+    private Consumer<Event.ListTold> told;
+    private Consumer<List<Listing>> list;
+    private long version;
+    private boolean following;
+    private Watch watch;
+    private Watch moving;
+
+    public InstancesSource(InetSocketAddress address, InstanceEntries entries, EventLoop loop) {
+        this.address = address;
+        this.entries = entries;
+        this.loop = loop;
+        this.client = new HttpClient(loop, CONNECT_MILLIS, LINE_MOST, 0);
+    }
+
+    /** Takes a list in the platform's form, as last had before the start; a bad one is none. */
+    public Event.ListTold lastSeen(JsonNode known) {
+        if (known != null) {
+            try {
+                InstanceEntries.Told last = entries.read(known);
+                version = last.version();
+                return new Event.ListTold(Event.ListKind.LAST_SEEN, last.entries());
+            } catch (Entries.BadList e) {
+                LOG.warn("the list known before the start is not used: {}", e.getMessage());
+            }
+        }
+        return new Event.ListTold(Event.ListKind.LAST_SEEN, List.of());
+    }
+
+    /** What is held now. */
+    public List<Listing> held() {
+        return entries.list();
+    }
+
+    @Override public void start(Consumer<Event.ListTold> to, Consumer<List<Listing>> listTo) {
+        told = to;
+        list = listTo;
+    }
+
+    @Override public void follow(boolean on) {
+        loop.execute(() -> {
+            following = on;
+            letGo();
+            if (on) {
+                watch = new Watch(address);
+            }
+        });
+    }
+
+    private void letGo() {
+        for (Watch some : new Watch[] {watch, moving}) {
+            if (some != null) {
+                some.call.letGo();
+            }
+        }
+        watch = null;
+        moving = null;
+    }
+
+    /** Discovery has another address from now on. */
+    public void moveTo(InetSocketAddress to) {
+        loop.execute(() -> {
+            if (to.equals(address)) {
+                return;
+            }
+            LOG.info("discovery moves from {} to {}", address, to);
+            address = to;
+            if (moving != null) {
+                moving.call.letGo();
+                moving = null;
+            }
+            if (watch != null) {
+                moving = new Watch(to);
+            }
+        });
+    }
+
+    private HttpMessage request(InetSocketAddress to, String target) {
+        return HttpMessage.get(target).with("host", to.getHostString() + ":" + to.getPort());
+    }
+
+    /** The one answer to what the decisions asked last. */
+    private void failed(String cause) {
+        LOG.warn("discovery {}: the list held stays: {}", address, cause);
+        told.accept(new Event.ListTold(Event.ListKind.FAILED, List.of()));
+    }
+
+    private final class Watch implements HttpWatch.Listener {
+        private final InetSocketAddress to;
+        private final HttpWatch call;
+        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private boolean over;
+
+        Watch(InetSocketAddress to) {
+            this.to = to;
+            this.call = new HttpWatch(loop, to, request(to, PATH + "?stream=1&index=" + version), ANSWER_MILLIS,
+                    SILENCE_MILLIS, LINE_MOST, this);
+        }
+
+        @Override public void bytes(byte[] bytes) {
+            if (this == moving) {
+                LOG.info("discovery {} answers: the old address is let go", to);
+                if (watch != null) {
+                    watch.over = true;
+                    watch.call.letGo();
+                }
+                watch = this;
+                moving = null;
+            }
+            for (int from = 0; from < bytes.length && !over;) {
+                int end = from;
+                while (end < bytes.length && bytes[end] != '\n') {
+                    end++;
+                }
+                line.write(bytes, from, end - from);
+                if (line.size() > LINE_MOST) {
+                    broken("an object is over " + LINE_MOST + " bytes");
+                    return;
+                }
+                if (end < bytes.length) {
+                    object(line.toByteArray());
+                    line.reset();
+                }
+                from = end + 1;
+            }
+        }
+
+        private void object(byte[] bytes) {
+            if (new String(bytes, java.nio.charset.StandardCharsets.ISO_8859_1).isBlank()) {
+                return; // a sign of life
+            }
+            try {
+                JsonNode node = JSON.readTree(bytes);
+                long at = node == null ? 0 : node.path("seq").asLong(0);
+                if (at < version && !node.path("whole").asBoolean(false)) {
+                    version = 0; // another history: only its whole list tells what was missed
+                    throw new Entries.BadList("its version goes back to " + at);
+                }
+                InstanceEntries.Told read = entries.read(node);
+                version = read.version();
+                told.accept(read.event());
+                list.accept(entries.list());
+            } catch (Entries.BadList e) {
+                broken(e.getMessage());
+            } catch (IOException e) {
+                broken("an object is no well-formed JSON");
+            }
+        }
+
+        private void broken(String cause) {
+            call.letGo();
+            ended(cause);
+        }
+
+        @Override public void ended(String cause) {
+            over = true;
+            if (this == moving) {
+                moving = null;
+                if (watch == null) {
+                    failed(cause);
+                } else {
+                    loop.schedule(() -> {
+                        if (watch != null && moving == null && !watch.to.equals(address)) {
+                            moving = new Watch(address);
+                        }
+                    }, MOVE_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
+                }
+            } else if (this == watch) {
+                watch = null;
+                if (moving == null && following) {
+                    failed(cause);
+                } // else the new address will answer, one way or the other
+            }
+        }
+    }
+
+    @Override public void fetch() {
+        loop.execute(() -> client.call(address, request(address, PATH), ANSWER_MILLIS, (answer, failure) -> {
+            try {
+                if (answer == null || answer.status() != 200) {
+                    throw new Entries.BadList(answer == null ? "the ask failed: " + failure : "it answers " + answer.status());
+                }
+                InstanceEntries.Told read = entries.read(JSON.readTree(answer.body()));
+                version = read.version();
+                told.accept(new Event.ListTold(Event.ListKind.WHOLE, read.entries()));
+                list.accept(entries.list());
+            } catch (Entries.BadList e) {
+                failed(e.getMessage());
+            } catch (IOException e) {
+                failed("its answer is no well-formed JSON");
+            }
+        }));
+    }
+
+    @Override public void stop() {
+        loop.execute(() -> {
+            following = false;
+            letGo();
+            client.close();
+        });
+    }
+}
--- a/src/main/java/stonespring/http/HttpDecoder.java
+++ b/src/main/java/stonespring/http/HttpDecoder.java
@@ -11,17 +11,21 @@
 import java.util.Map;
 
 /**
- * Bytes to whole {@link HttpMessage}s (RFC 9112). Forms by which two readers could see different messages are refused:
+ * Bytes to whole {@link HttpMessage}s (RFC 9112); an answer in chunks that is passed on as it comes is its head, with an
+ * empty body, then byte arrays, and an {@link #END} if it ends. Forms by which two readers could see different messages are refused:
  * two lengths, a length beside chunks, folded lines, a space before a colon, bare line ends.
  */
 final class HttpDecoder extends ByteToMessageDecoder {
     private static final int LINE_MOST = 8192; // bytes of the first line, a header or a chunk's size line
     private static final int HEADERS_MOST = 100;
 
+    static final Object END = new Object(); // stands after the last chunk of an answer that was passed on
+
     private enum At { FIRST, HEADERS, BODY, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS }
 
     private final boolean requests;
     private final int bodyMost;
+    private final boolean passOn;
     private At at = At.FIRST;
     private String first;
     private String second;
@@ -32,8 +36,14 @@
     private ByteArrayOutputStream body;
 
     HttpDecoder(boolean requests, int bodyMost) {
+        this(requests, bodyMost, false);
+    }
+
+    /** @param passOn chunks are handed on as they come, and bound alone, since their answer may never end */
+    HttpDecoder(boolean requests, int bodyMost, boolean passOn) {
         this.requests = requests;
         this.bodyMost = bodyMost;
+        this.passOn = passOn;
     }
 
     @Override protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
@@ -131,7 +141,10 @@
 
     private void header(String line, List<Object> out) {
         if (line.isEmpty()) {
-            if (at == At.TRAILERS) {
+            if (at == At.TRAILERS && passOn) {
+                out.add(END);
+                at = At.FIRST;
+            } else if (at == At.TRAILERS) {
                 done(out);
             } else {
                 headersDone(out);
@@ -167,6 +180,9 @@
                 throw new HttpFault("header 'transfer-encoding': it is not 'chunked', or a length stands beside it");
             }
             at = At.CHUNK_SIZE;
+            if (passOn) {
+                out.add(new HttpMessage(first, second, headers, body.toByteArray()));
+            }
             return;
         }
         if (length != null && !length.matches("[0-9]{1,9}")) {
@@ -204,8 +220,14 @@
         int count = Math.min(left, in.readableBytes());
         byte[] bytes = new byte[count];
         in.readBytes(bytes);
-        body.write(bytes, 0, count);
         left -= count;
+        if (passOn && at == At.CHUNK) {
+            if (count > 0) {
+                out.add(bytes);
+            }
+        } else {
+            body.write(bytes, 0, count);
+        }
         if (left > 0) {
             return;
         }
--- /dev/null
+++ b/src/main/java/stonespring/line/LineListener.java
@@ -0,0 +1,106 @@
+package stonespring.line;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Listens for lines, and keeps strangers few and short: they must never take a descriptor from those who are known. It
+ * lives on one event loop. Ends of connections are logged up to a number a second, then counted.
+ */
+public final class LineListener {
+    private static final Logger LOG = LoggerFactory.getLogger(LineListener.class);
+    private static final int ACCEPT_BACKLOG = 1024; // connections; a whole fleet and a crowd dial within a second
+    private static final int READ_BYTES = 2048; // of one read; messages have a few hundred
+    private static final int LOGGED_A_SECOND = 5; // lines; the rest are counted in one
+
+    private final LineLimits limits;
+    private final LineEvents events;
+    private final Set<LinePeer> strangers = new LinkedHashSet<>();
+    private Channel channel;
+    private long secondAt;
+    private int logged;
+    private long unlogged;
+
+    public LineListener(LineLimits limits, LineEvents events) {
+        this.limits = limits;
+        this.events = events;
+    }
+
+    /** Listens; waits until it does. The loops must be of one thread. */
+    public LineListener start(EventLoopGroup loops, InetSocketAddress address) throws InterruptedException {
+        channel = new ServerBootstrap().group(loops).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(READ_BYTES))
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override protected void initChannel(SocketChannel child) {
+                        child.pipeline().addLast(new LineDecoder(limits.lineBytes()), new LinePeer(LineListener.this, events));
+                    }
+                }).bind(address).sync().channel();
+        return this;
+    }
+
+    public int port() {
+        return ((InetSocketAddress) channel.localAddress()).getPort();
+    }
+
+    public LineLimits limits() {
+        return limits;
+    }
+
+    int strangers() {
+        return strangers.size();
+    }
+
+    /** A new connection: it has some time to say who it is. */
+    Future<?> stranger(LinePeer peer) {
+        strangers.add(peer);
+        Future<?> end = peer.channel().eventLoop().schedule(() -> peer.end("not joined within " + limits.strangerMillis() + " ms"),
+                limits.strangerMillis(), TimeUnit.MILLISECONDS);
+        if (strangers.size() > limits.strangers()) {
+            Iterator<LinePeer> oldest = strangers.iterator();
+            oldest.next().end("too many strangers");
+        }
+        return end;
+    }
+
+    void known(LinePeer peer) {
+        strangers.remove(peer);
+    }
+
+    void ended(LinePeer peer, String cause) {
+        long second = System.nanoTime() / 1_000_000_000;
+        if (second != secondAt) {
+            if (unlogged > 0) {
+                LOG.warn("{} more connections ended", unlogged);
+            }
+            secondAt = second;
+            logged = 0;
+            unlogged = 0;
+        }
+        if (logged++ < LOGGED_A_SECOND) {
+            LOG.warn("connection of {} ended: {}", peer.keptFor() == null ? "a stranger" : peer.keptFor(), cause);
+        } else {
+            unlogged++;
+        }
+    }
+
+    /** Takes no new connections from now on. */
+    public void stop() {
+        channel.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/stonespring/line/LinePeer.java
@@ -0,0 +1,129 @@
+package stonespring.line;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
+import io.netty.util.concurrent.Future;
+import java.nio.charset.StandardCharsets;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One connection; its state lives on its event loop and all calls come from there. Until it is kept it is a stranger:
+ * any fault of it is answered by a refusal and a close. The sign of life is answered here, whoever asks.
+ */
+public final class LinePeer extends SimpleChannelInboundHandler<LineMessage> {
+    private static final Logger LOG = LoggerFactory.getLogger(LinePeer.class);
+    private static final String REFUSAL = "NACK";
+
+    private final LineListener listener;
+    private final LineEvents events;
+    private Channel channel;
+    private Future<?> strangerEnd;
+    private Object keptFor;
+    private boolean over;
+
+    LinePeer(LineListener listener, LineEvents events) {
+        this.listener = listener;
+        this.events = events;
+    }
+
+    /** What this connection was kept for; null for a stranger. */
+    public Object keptFor() {
+        return keptFor;
+    }
+
+    /** It is a stranger no longer. */
+    public void keep(Object purpose) {
+        keptFor = purpose;
+        strangerEnd.cancel(false);
+        listener.known(this);
+    }
+
+    /** Writes text of whole lines; it leaves with the next {@link #flush}. A peer too far behind is cut off. */
+    public void write(String lines) {
+        if (over) {
+            return;
+        }
+        var buffer = channel.unsafe().outboundBuffer();
+        if (buffer != null && buffer.totalPendingWriteBytes() > listener.limits().pendingBytes()) {
+            // Nothing may be left out of the middle: it joins again and is told anew.
+            end("it reads too slowly: over " + listener.limits().pendingBytes() + " bytes wait for it");
+            return;
+        }
+        channel.write(bytes(lines), channel.voidPromise());
+    }
+
+    public void flush() {
+        channel.flush();
+    }
+
+    private static ByteBuf bytes(String text) {
+        return Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Ends it with one line in the log; a kept one is told as closed at once, so that nothing of it lasts longer. */
+    public void end(String cause) {
+        if (over) {
+            return;
+        }
+        over = true;
+        listener.ended(this, cause);
+        if (keptFor == null) {
+            strangerEnd.cancel(false);
+            listener.known(this);
+            String word = cause.replaceAll("[^A-Za-z0-9]+", "-");
+            channel.writeAndFlush(bytes(REFUSAL + " reason=" + word.substring(0, Math.min(80, word.length())) + "\r\n"))
+                    .addListener(ChannelFutureListener.CLOSE);
+            return;
+        }
+        channel.close();
+        events.closed(this);
+    }
+
+    @Override public void channelActive(ChannelHandlerContext ctx) {
+        channel = ctx.channel();
+        strangerEnd = listener.stranger(this);
+    }
+
+    Channel channel() {
+        return channel;
+    }
+
+    @Override protected void channelRead0(ChannelHandlerContext ctx, LineMessage message) {
+        if (over) {
+            return;
+        }
+        if (message.kind().equals("PING")) {
+            write("PONG\r\n");
+            flush();
+            return;
+        }
+        events.message(this, message);
+    }
+
+    @Override public void channelInactive(ChannelHandlerContext ctx) {
+        if (over) {
+            return;
+        }
+        over = true;
+        if (keptFor != null) {
+            events.closed(this);
+        } else {
+            strangerEnd.cancel(false);
+            listener.known(this);
+        }
+    }
+
+    @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        Throwable root = cause instanceof DecoderException && cause.getCause() != null ? cause.getCause() : cause;
+        if (!(root instanceof LineFault) && !(root instanceof java.io.IOException)) {
+            LOG.error("a connection's handler failed", root);
+        }
+        end(root instanceof LineFault ? root.getMessage() : root instanceof java.io.IOException ? "reset" : "handler failed");
+    }
+}
