Late sums make a cut in doubt less deep; a last line's bias is told by its ops, not by others' lines

Change: sums that stay out tell how late they are, cuts wait so much longer and stop at TRUST_CALM in doubt; a last line's rate is set right by how many ops lines hold, by half. 4,000 marks are remembered, not 65,000.

--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -47,6 +47,7 @@
     private static final double BUSY_LEAST = 0.15; // share; under it a report's noise rules the cost
     private static final double UNIT_STEP = 0.03; // share; the fleet's mean cost is steady, its loads are not
     private static final double CALM = 0.15; // share of tries in vain; some answers are always late
+    private static final double LINES_KEEP = 0.8; // share; some lines' mean, as they come in seconds
     private static final double DEAD = 0.8; // bad share of tries; more than tasks in a jam show
     private static final double DOUBT = 2; // tries; fewer say nothing of a bad share
     // Levels and cold tasks.
@@ -55,9 +56,8 @@
     private static final double SPREAD = 0.5; // share of capacity; trouble at more of it is a jam's
     private static final double CALM_SPREAD = 0.25; // share of capacity; trouble at less of it is some tasks'
     private static final double TRUST_CUT = 0.7; // times; a jam clears within a few cuts
-    private static final double TRUST_FIRST = 0.5; // times; as sums tell first, repeats came for seconds
     private static final double TRUST_LEAST = 0.4; // times the capacity read; symptoms cut no deeper
-    private static final double TRUST_DOUBT = 0.5; // times; no deeper while tasks say that they have time
+    private static final double TRUST_DOUBT = 0.5; // times; a first cut, the most while tasks report time
     private static final double TRUST_CALM = 0.7; // times; in calm so much comes in again at once
     private static final double TRUST_MOST = 2; // times; costs may be read so much too high
     private static final double TRUST_STEP = 0.04; // share a second; a step shows before the third follows
@@ -91,7 +91,7 @@
     private static final double ROUTINE_MESSAGES = 0.33; // share of a proxy's messages; for levels twice
     private static final long BUNCH_WAIT = 6_000; // 0.1 ms; well under any grace, over half the even gap
     private static final int SPARE_MESSAGES = 2; // messages; for the warnings of unknown tables
-    private static final int MARKS = 65_000; // numbers; under the wire's most
+    private static final int MARKS = 4_000; // numbers; an hour's replies, and no more are remembered
     private static final long NEVER = Long.MIN_VALUE / 2; // 0.1 ms; before any clock
     private static final TimerToken TICK = new TimerToken(1), WAKE = new TimerToken(2); // the two timers
 
@@ -352,9 +352,8 @@
         private long joinedAt, leftAt = NEVER;
         private double ops, arriving;
         private final double[] opsByType = new double[set.opTypes().size()];
-        private final double[] before = new double[set.opTypes().size()];
-        private final Event.ProxyOps[] latest = new Event.ProxyOps[set.opTypes().size()];
-        private final long[] latestAt = new long[set.opTypes().size()];
+        private final double[] latest = new double[set.opTypes().size()];
+        private final double[] opsALine = new double[set.opTypes().size()];
         private final List<Line> table = new ArrayList<>();
         private double potential;
         private int waited;
@@ -367,7 +366,7 @@
         Proxy(int number) {
             this.id = new ProxyId(number);
             Arrays.fill(opsByType, Double.NaN);
-            Arrays.fill(before, Double.NaN);
+            Arrays.fill(opsALine, Double.NaN);
         }
 
         /** Share by which a proposal is heeded; by and by the module's own weights come back. */
@@ -417,8 +416,6 @@
                 messages.clear();
                 if (ops <= 0) ops = e.opsPerSecond();
                 arriving = ops;
-                System.arraycopy(opsByType, 0, before, 0, before.length);
-                Arrays.fill(latest, null); // while it was away no line told of it
             } else if (event instanceof Event.Proposed e) {
                 proposed.clear();
                 proposedAt = now;
@@ -432,41 +429,30 @@
                 for (Freed f : planner.moving) f.answered |= f.proxy == this;
             } else if (event instanceof Event.ProxyOps e) {
                 int k = e.opType().index();
-                if (latest[k] != null) before[k] = smoothOps(k, 0);
-                latest[k] = e;
-                latestAt[k] = planner.lastOps = now;
-                settleOps();
+                double seen = e.ops() * (double) Tenths.SECOND / Math.max(1, e.span());
+                double keep = Math.pow(0.5, (double) e.span() / HALF_LIFE);
+                opsALine[k] = smooth(opsALine[k], e.ops(), LINES_KEEP);
+                latest[k] = seen * held(opsALine[k]);
+                opsByType[k] = smooth(opsByType[k], seen, keep);
+                double sum = IntStream.range(0, opsByType.length).mapToDouble(this::typeOps).sum();
+                boolean all = Arrays.stream(opsByType).noneMatch(Double::isNaN);
+                ops = all ? sum : Math.max(ops, sum);
+                arriving = all ? Arrays.stream(latest).sum() : ops;
             }
         }
 
-        /** Ops a second by the last line, as if it had told of so many quiet periods after it too. */
-        double seen(int k, long quiet) {
-            long span = Math.max(1, latest[k].span() + quiet * set.sumsEvery());
-            return latest[k].ops() * (double) Tenths.SECOND / span;
-        }
-
-        double smoothOps(int k, long quiet) {
-            double span = latest[k].span() + quiet * set.sumsEvery();
-            return smooth(before[k], seen(k, quiet), Math.pow(0.5, span / HALF_LIFE));
-        }
-
         /**
-         * Periods without an op send no line, and a line is heard right after some: by lines alone a small
-         * proxy's ops seemed half as many again, and levels were cut for them. So the last line counts over
-         * the periods since, too, as far as others' lines show that they were told: right in the mean.
+         * Periods without an op send no line, so one comes right after some, and its rate holds until the
+         * next. By lines of one op or two a fleet of small proxies seemed to bring half as many again, and
+         * levels were cut for it. For ops by chance, in periods of which a share has any, such a rate is in
+         * the mean too high by -log(share) / (1 - share), the mean of geometric waits. Half of that, as its
+         * root, is taken off: in a jam what comes soon is above the mean, and the whole let jams form.
          */
-        void settleOps() {
-            double sum = 0;
-            double last = 0;
-            for (int k = 0; k < latest.length; k++) {
-                long quiet = (planner.lastOps - latestAt[k] + set.sumsEvery() / 4) / set.sumsEvery();
-                if (latest[k] != null) opsByType[k] = smoothOps(k, quiet);
-                sum += typeOps(k);
-                last += latest[k] != null ? seen(k, quiet) : typeOps(k);
-            }
-            boolean all = Arrays.stream(opsByType).noneMatch(Double::isNaN);
-            ops = all ? sum : Math.max(ops, sum);
-            arriving = all ? last : ops;
+        private double held(double opsALine) {
+            double mean = opsALine; // of a period, by what those with any have: a line has mean / share
+            for (int i = 0; i < 20; i++) mean = opsALine * (1 - Math.exp(-mean));
+            double share = Math.max(0.05, 1 - Math.exp(-mean));
+            return share > 0.99 ? 1 : Math.sqrt((share - 1) / Math.log(share));
         }
     }
 
@@ -498,7 +484,7 @@
         private final Set<Proxy> urgent = new LinkedHashSet<>();
         private final List<Freed> moving = new ArrayList<>();
         private boolean sumsCame, sumsShow, unwarned;
-        private long lastTurn = NEVER, lastCut = NEVER, lastWarning = NEVER, wakeAt = NEVER, lastOps;
+        private long lastTurn = NEVER, lastCut = NEVER, lastWarning = NEVER, wakeAt = NEVER, lateBy;
         private int turns, unitReadings;
         private double[] capacity = new double[0], planned = new double[0];
         private double part = 1, shownPart = Double.NaN, unit = Double.NaN;
@@ -521,6 +507,8 @@
             look = false;
             if (turn) {
                 settleSums();
+                // Sums that stay out come late from then on for some time; a cut shows in them so much later.
+                lateBy = turns == 0 ? 0 : Math.max(now - lastTurn - set.sumsEvery(), lateBy * 9 / 10);
                 lastTurn = now;
                 turns++;
             }
@@ -577,7 +565,6 @@
         /** Sums up a turn's rates; a line counts over its own span, so what sent none only fades. */
         private void settleSums() {
             double keep = Math.pow(0.5, (double) set.sumsEvery() / HALF_LIFE);
-            for (Proxy p : proxies.values()) if (p.joined) p.settleOps();
             // Who joins shows in the sums late, and by and by: taken whole at once, a fleet that came over in
             // a second made tasks seem slow by as much, and levels were cut for it.
             Predicate<Proxy> shows = p -> p.joined && now - p.joinedAt > JOIN_SHOWS;
@@ -630,7 +617,7 @@
             // and what stayed once looked like time for all; and their ops may come to the others.
             came = proxies.values().stream().mapToDouble(p -> p.counts() ? p.arriving : 0).sum();
             allListed = sum(i -> listed[i]);
-            // Started in a jam: what clients ask again and again is no measure of what tasks can do. The first
+            // Started in a jam: what clients ask again and again is no measure of what tasks do. The first
             // sums hold little of what those that join bring: once all was cut to a tenth for it.
             double acked = sum(i -> rate[i] * good(i));
             double most = sumsShow ? Math.min(demand / part, acked / shownPart())
@@ -743,10 +730,12 @@
             double spread = sum(i -> troubled(i) > CALM ? capacity[i] : 0) / Math.max(1e-9, allCapacity);
             double trouble = turnVain / Math.max(DOUBT, turnTries);
             double step = TRUST_STEP * set.sumsEvery() / Tenths.SECOND;
-            if (turn && trouble > JAM && spread > SPREAD && now - lastCut > CUT_WAIT) {
+            if (turn && trouble > JAM && spread > SPREAD && now - lastCut > CUT_WAIT + lateBy) {
                 if (trust == 1) channel.other(new Order.LogLine("Busy tasks fail ops: levels are cut."));
-                double least = fill > PRESSED ? TRUST_LEAST : Math.min(trust, TRUST_DOUBT);
-                trust = Math.max(least, trust * (level == 1 ? TRUST_FIRST : TRUST_CUT));
+                // The jam that late sums tell of may be over: halved for it, ops were rejected for seconds.
+                double doubt = lateBy > set.sumsEvery() ? TRUST_CALM : TRUST_DOUBT;
+                double least = fill > PRESSED ? TRUST_LEAST : Math.min(trust, doubt);
+                trust = Math.max(least, trust * (level == 1 ? TRUST_DOUBT : TRUST_CUT));
                 lastCut = now;
             } else if (turn && (trouble < CALM || spread < CALM_SPREAD) && fill < ADMIT_FILL) {
                 trust = Math.min(level < 1 ? TRUST_MOST : 1, Math.max(TRUST_CALM, trust * (1 + step)));
--- a/src/test/java/stonespring/decision/SmallProxiesTest.java
+++ b/src/test/java/stonespring/decision/SmallProxiesTest.java
@@ -84,10 +84,14 @@
     }
 
     private void tries(double perSecond, double busy) {
+        tries(perSecond, busy, 0);
+    }
+
+    private void tries(double perSecond, double busy, double badShare) {
         for (int i = 0; i < TASKS; i++) {
             long tries = Math.round(perSecond / TASKS);
             if (tries > 0) {
-                assigner.take(now, new Event.TaskSums(new TaskId("t" + i), new ZoneId(0), tries, 0, SECOND, SECOND / 10,
+                assigner.take(now, new Event.TaskSums(new TaskId("t" + i), new ZoneId(0), tries, Math.round(tries * badShare), SECOND, SECOND / 10,
                         new LoadReport(busy, Double.NaN, Double.NaN, Double.NaN, Double.NaN)));
             }
         }
@@ -165,4 +169,35 @@
         finish();
         assertTrue(levels.stream().min(Double::compare).orElse(1.0) < 1, "all of them don't: " + levels);
     }
+
+    private double leastLevel(boolean late) {
+        levels.clear();
+        start(1);
+        for (int p = 0; p < PROXIES; p++) {
+            join(p, true);
+        }
+        for (int turn = 0; turn < 15; turn++) {
+            now += SECOND;
+            reports(0, PROXIES, 0.6);
+            finish();
+        }
+        now += late ? 4 * SECOND : 0;
+        for (int turn = 0; turn < 4; turn++) {
+            now += SECOND;
+            tries(PROXIES * OPS * TYPES, 0.6, 0.4);
+            finish();
+        }
+        return levels.stream().min(Double::compare).orElse(1.0);
+    }
+
+    /**
+     * Tasks that say that they have time, and tries in vain: a cut halves, for what they say may be false. While sums come
+     * late the jam that they tell of was over before the cut, and a quarter of all ops were rejected for eight seconds.
+     */
+    @Test void aCutInDoubtGoesLessDeepWhileSumsComeLate() {
+        double usual = leastLevel(false);
+        double late = leastLevel(true);
+        assertTrue(usual < 0.5, "usual " + usual);
+        assertTrue(late > 0.65, "usual " + usual + ", late " + late);
+    }
 }
