Tasks long gone are forgotten, and their places serve others

Need: the platform replaces all tasks under new ids, and the program runs for weeks: the module's arrays grew by each task ever listed, the front's and the state's withdrawals by each that left. To blame: `tasks++` in Task's constructor with nothing that ends an index; `withdrawn` in Tables and LineFront. Change: what was gone for ten minutes and stands in no table is forgotten, its index goes to the next; the front names the 60,000 tasks told last and forgets the rest with their withdrawals.

--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -82,6 +82,7 @@
     private static final int SETTLE_TURNS = 3; // turns; some rounds of sums before old tables are touched
     private static final long JOIN_SHOWS = 10_000; // 0.1 ms; half a period and the sums' usual lateness
     private static final long OLD_TABLES = 17_000; // 0.1 ms; most graces hold it and a message
+    private static final long FORGET = 6_000_000; // 0.1 ms; ten minutes, longer than any table stays unmended
     private static final long FOLLOW_RETRY = 5_000; // 0.1 ms; first wait to ask again, doubled thrice
     private static final long FOLLOW_LOST = 90_000; // 0.1 ms; an answer, good or bad, comes well before
     private static final double CHANNEL_SLOW = 5; // times; the slowest channel known, and some
@@ -136,11 +137,12 @@
 
     // Figures about tasks: parallel arrays under a task's index; a first index of two is the zone's.
     private int tasks;
+    private final ArrayDeque<Integer> free = new ArrayDeque<>(); // indices of those long gone
     private final Map<TaskId, Task> taskById = new HashMap<>();
     private Task[] task = new Task[0];
     private int[] zone = new int[0];
     private Listing.State[] state = new Listing.State[0];
-    private long[] started = new long[0], entered = new long[0];
+    private long[] started = new long[0], entered = new long[0], left = new long[0];
     private boolean[] out = new boolean[0], dropped = new boolean[0];
     private double[] listed = new double[0], rate = new double[0], busy = new double[0];
     private double[] told = new double[0], latency = new double[0];
@@ -216,6 +218,7 @@
         state = Arrays.copyOf(state, size);
         started = Arrays.copyOf(started, size);
         entered = Arrays.copyOf(entered, size);
+        left = Arrays.copyOf(left, size);
         out = Arrays.copyOf(out, size);
         dropped = Arrays.copyOf(dropped, size);
         listed = Arrays.copyOf(listed, size);
@@ -237,10 +240,13 @@
 
         Task(TaskId id) {
             this.id = id;
-            this.index = tasks++;
+            this.index = free.isEmpty() ? tasks++ : free.poll();
             if (index == task.length) grow(Math.max(32, 2 * index));
             task[index] = this;
             state[index] = Listing.State.GONE;
+            out[index] = false;
+            started[index] = entered[index] = 0;
+            left[index] = now;
             forget();
             post(planner, new Leaving(index)); // until a list has it; no table of ours names it
         }
@@ -259,6 +265,7 @@
 
         private void leave(Listing.State how) {
             state[index] = how;
+            left[index] = now;
             dropped[index] = false;
             post(planner, new Leaving(index));
         }
@@ -442,11 +449,9 @@
         }
 
         /**
-         * Periods without an op send no line, so one comes right after some, and its rate holds until the
-         * next. By lines of one op or two a fleet of small proxies seemed to bring half as many again, and
-         * levels were cut for it. For ops by chance, in periods of which a share has any, such a rate is in
-         * the mean too high by -log(share) / (1 - share), the mean of geometric waits. Half of that, as its
-         * root, is taken off: in a jam what comes soon is above the mean, and the whole let jams form.
+         * A line tells of a period with ops, and its rate holds until the next: in the mean too high by
+         * -log(share) / (1 - share), of periods with any. Small proxies seemed to bring half as many again.
+         * Half is taken off, its root: in a jam what comes soon is above the mean; the whole let jams form.
          */
         private double held(double opsALine) {
             double mean = opsALine; // of a period, by what those with any have: a line has mean / share
@@ -507,7 +512,7 @@
             look = false;
             if (turn) {
                 settleSums();
-                // Sums that stay out come late from then on for some time; a cut shows in them so much later.
+                // Sums that stay out come late from then on: what they tell may be over, a cut shows later.
                 lateBy = turns == 0 ? 0 : Math.max(now - lastTurn - set.sumsEvery(), lateBy * 9 / 10);
                 lastTurn = now;
                 turns++;
@@ -572,6 +577,13 @@
             if (sumsShow) shownPart = smooth(shownPart, part(shows), keep);
             for (int i = 0; i < tasks; i++) {
                 rate[i] = 0;
+                int gone = i; // tasks come under new ids for ever: what no table names is forgotten at last
+                if (task[i] != null && state[i] == Listing.State.GONE && now - left[i] > FORGET
+                        && proxies.values().stream().allMatch(p -> p.find(gone) == null)) {
+                    taskById.remove(task[i].id);
+                    task[i] = null;
+                    free.add(i);
+                }
                 for (int z = 0; z < bad.length; z++) {
                     boolean fades = now - lastLine[z][i] > FADE_AFTER + set.sumsEvery();
                     if (fades) for (double[][] of : List.of(bad, tries, zoneRate)) of[z][i] *= keep;
@@ -620,9 +632,8 @@
             // Started in a jam: what clients ask again and again is no measure of what tasks do. The first
             // sums hold little of what those that join bring: once all was cut to a tenth for it.
             double acked = sum(i -> rate[i] * good(i));
-            double most = sumsShow ? Math.min(demand / part, acked / shownPart())
-                    : demand / part * acked / sum(i -> rate[i]);
-            double shown = acked > 0 ? most : demand / part;
+            double shown = acked <= 0 ? demand / part : !sumsShow ? demand / part * acked / sum(i -> rate[i])
+                    : Math.min(demand / part, acked / shownPart());
             for (int i = 0; i < tasks; i++) {
                 double full = unit > 0 ? unit * listed[i]
                         : listed[i] / allListed * Math.max(1, shown) / USUAL_FILL;
@@ -732,7 +743,6 @@
             double step = TRUST_STEP * set.sumsEvery() / Tenths.SECOND;
             if (turn && trouble > JAM && spread > SPREAD && now - lastCut > CUT_WAIT + lateBy) {
                 if (trust == 1) channel.other(new Order.LogLine("Busy tasks fail ops: levels are cut."));
-                // The jam that late sums tell of may be over: halved for it, ops were rejected for seconds.
                 double doubt = lateBy > set.sumsEvery() ? TRUST_CALM : TRUST_DOUBT;
                 double least = fill > PRESSED ? TRUST_LEAST : Math.min(trust, doubt);
                 trust = Math.max(least, trust * (level == 1 ? TRUST_DOUBT : TRUST_CUT));
@@ -1087,6 +1097,7 @@
 
         /** Known tables lose what left by their own lines; withdrawals are for unknown, small ones. */
         void withdraw(int i, boolean leaves) {
+            if (task[i] == null) return;
             if (leaves ? proxies.values().stream().noneMatch(p -> p.joined && !p.bound) : !out[i]) return;
             out[i] = leaves;
             first.add(new Order.Withdraw(task[i].id, leaves));
--- a/src/main/java/stonespring/front/line/LineFront.java
+++ b/src/main/java/stonespring/front/line/LineFront.java
@@ -190,7 +190,11 @@
             listed.add(listing.task());
         }
         while (listed.size() > LISTED_MOST) {
-            listed.remove(listed.iterator().next());
+            TaskId oldest = listed.iterator().next();
+            listed.remove(oldest);
+            withdrawn.remove(oldest.name());
+            shut.values().forEach(of -> of.remove(oldest.name()));
+            tables.forget(oldest);
         }
     }
 
--- a/src/main/java/stonespring/state/Tables.java
+++ b/src/main/java/stonespring/state/Tables.java
@@ -237,6 +237,11 @@
         }
     }
 
+    /** A task so long gone that no proxy holds it any more: its withdrawal ends with it. */
+    public void forget(TaskId task) {
+        withdrawn.remove(task.name());
+    }
+
     private String levelKey(TableId table, int opType) {
         String name = table.equals(Order.EVERY_TABLE) ? "every" : String.valueOf(table.number());
         return "level/" + name + "/" + opTypes.get(opType);
--- a/src/test/java/stonespring/front/line/LineFrontTest.java
+++ b/src/test/java/stonespring/front/line/LineFrontTest.java
@@ -265,4 +265,23 @@
         order(line(3, "s-2", 0.5), bind(3));
         assertEquals("CONFIG replace=1 rows=s-2:0.5 undrop=s-2", proxy.hear());
     }
+
+    /** Tasks under new ids for ever: of those gone the latest are known, and what was withdrawn ends with its task. */
+    @Test void tasksLongGoneAreForgotten() throws Exception {
+        Client proxy = joined();
+        order(new Order.Withdraw(new TaskId("s-1"), true), new Order.Withdraw(new TaskId("n-59999"), true));
+        assertEquals("CONFIG drop=n-59999,s-1", proxy.hear());
+        List<Listing> many = new ArrayList<>();
+        for (int i = 0; i < 60_000; i++) {
+            many.add(listing("n-" + i));
+        }
+        loop.submit(() -> front.listTold(new Event.ListTold(Event.ListKind.CHANGES, many))).sync();
+        Client collector = new Client().say("SOURCE site=west", "LOAD site=west target=s-1 count=1 fail=0 mean=1 over=1000",
+                "LOAD site=west target=n-0 count=1 fail=0 mean=1 over=1000");
+        assertEquals(new TaskId("n-0"), ((Event.TaskSums) next()).task(), "the one before names a task forgotten");
+        collector.alive();
+        assertEquals(1, front.dropped());
+        order(line(3, "s-1", 1), line(3, "n-59999", 1), bind(3));
+        assertEquals("CONFIG replace=1 rows=n-59999:1,s-1:1", proxy.hear(), "what is still withdrawn is shut out already");
+    }
 }
