The stop's log line tells how long moments took, and from reports to orders

Need: collector, compiler and decisions share part of a core; what they leave for an answer to a period's reports was not known as a figure.

--- a/src/main/java/stonespring/daemon/PlatformDaemon.java
+++ b/src/main/java/stonespring/daemon/PlatformDaemon.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import stonespring.config.PlatformFile;
@@ -21,6 +22,7 @@
 import stonespring.model.Event;
 import stonespring.model.Order;
 import stonespring.model.Settings;
+import stonespring.model.Tenths;
 
 /**
  * An assigner on the operators' platform: one thread for its sockets and its decisions, since it has a part of one core.
@@ -43,6 +45,7 @@
     private static final int REPORTS_MOST = 20_000; // events; at that many they are told at once
     private static final int FAILURES_MOST = 10; // restarts of the decisions; more is no passing moment
     private static final long MILLI = 10; // 0.1 ms in one
+    private static final long TOOK_MOST = 60 * Tenths.SECOND; // 0.1 ms; the histograms' end, longer counts as that
     private static final long STOP_MILLIS = 300; // ms; what was written is out long before
 
     private final PlatformFile file;
@@ -56,7 +59,10 @@
     private final List<Event> events = new ArrayList<>();
     private final List<Event> reports = new ArrayList<>();
     private final Outside outside;
+    private final Histogram moments = new Histogram(TOOK_MOST, 2);
+    private final Histogram answered = new Histogram(TOOK_MOST, 2);
     private long reportsFrom;
+    private long reportsTold = -1;
     private long reportsLast;
     private Decisions decisions;
     private boolean momentDue;
@@ -143,6 +149,7 @@
     private void tellReports() {
         events.addAll(reports);
         reports.clear();
+        reportsTold = reportsFrom;
         if (!events.isEmpty()) {
             wake();
         }
@@ -172,6 +179,12 @@
             if (decisions.pending()) {
                 List<Order> orders = decisions.finish(now);
                 front.carryOut(orders, now);
+                long done = clock.now();
+                moments.recordValue(Math.min(TOOK_MOST, done - now));
+                if (reportsTold >= 0) {
+                    answered.recordValue(Math.min(TOOK_MOST, done - reportsTold));
+                    reportsTold = -1;
+                }
             }
         } catch (DecisionFailed e) {
             startAnew(e.getCause());
@@ -232,9 +245,15 @@
     public void stop() throws InterruptedException {
         listener.stop();
         source.stop();
-        loop.submit(() -> LOG.info("assigner {} stops: {} proxies, {} messages dropped", file.name(), front.proxiesHere(),
-                front.dropped())).await(STOP_MILLIS);
+        loop.submit(() -> LOG.info("assigner {} stops: {} proxies, {} messages dropped; moments p50 {} ms, p99 {} ms, most {} ms; from a "
+                + "period's first report to the orders' last byte p50 {} ms, p99 {} ms, most {} ms", file.name(), front.proxiesHere(),
+                front.dropped(), millis(moments, 50), millis(moments, 99), millis(moments, 100), millis(answered, 50),
+                millis(answered, 99), millis(answered, 100))).await(STOP_MILLIS);
         sockets.shutdownGracefully(0, STOP_MILLIS, TimeUnit.MILLISECONDS).await(STOP_MILLIS);
         ended.complete(null);
     }
+
+    private static double millis(Histogram of, double percentile) {
+        return of.getValueAtPercentile(percentile) / (double) MILLI;
+    }
 }
