A failure inside the decisions is caused on sockets: they start anew, and no stream is lost

Change: what makes the decisions is handed to PlatformDaemon, the Assigner unless a test says otherwise; two tests.

--- a/src/main/java/stonespring/daemon/PlatformDaemon.java
+++ b/src/main/java/stonespring/daemon/PlatformDaemon.java
@@ -19,6 +19,7 @@
 import stonespring.front.line.LineFront;
 import stonespring.line.LineLimits;
 import stonespring.line.LineListener;
+import stonespring.model.DecisionModule;
 import stonespring.model.Event;
 import stonespring.model.Order;
 import stonespring.model.Settings;
@@ -49,6 +50,7 @@
     private static final long STOP_MILLIS = 300; // ms; what was written is out long before
 
     private final PlatformFile file;
+    private final Maker maker;
     private final InstanceClock clock = new InstanceClock();
     private final MultiThreadIoEventLoopGroup sockets = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) sockets.next();
@@ -72,7 +74,17 @@
     private int failures;
 
     public PlatformDaemon(PlatformFile file) {
+        this(file, Assigner::new);
+    }
+
+    /** What makes the decisions, by settings, seed and time. */
+    interface Maker {
+        DecisionModule make(Settings settings, long seed, long now);
+    }
+
+    PlatformDaemon(PlatformFile file, Maker maker) {
         this.file = file;
+        this.maker = maker;
         Settings settings = file.facts().settings();
         int reserved = settings.proxies() + COLLECTORS_A_ZONE * settings.zones() + FILES;
         int strangers = Math.max(STRANGERS_LEAST, Math.min(STRANGERS_MOST, file.sockets() - reserved));
@@ -107,8 +119,8 @@
                 file.listen().getHostString(), listener.port(), source.held().size(), file.facts().settings().proxies(), listener.limits().strangers());
     }
 
-    private Assigner module(long seed) {
-        return new Assigner(file.facts().settings(), seed, clock.now());
+    private DecisionModule module(long seed) {
+        return maker.make(file.facts().settings(), seed, clock.now());
     }
 
     private void listTold(Event.ListTold told) {
--- a/src/test/java/stonespring/daemon/PlatformTest.java
+++ b/src/test/java/stonespring/daemon/PlatformTest.java
@@ -20,6 +20,10 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import stonespring.model.Event;
+import stonespring.model.Order;
+import stonespring.model.TableId;
+import stonespring.model.TaskId;
 
 /** The assigner as a process of its own, started as the platform does, on loopback. */
 final class PlatformTest {
@@ -192,4 +196,61 @@
         assertEquals(1, log().lines().count(), log());
         assertFalse(process.isAlive());
     }
+
+    /** Fails as the first proxy joins, and is whole from then on. */
+    private static final class Fails implements stonespring.model.DecisionModule {
+        private final boolean whole;
+        private final List<Order> orders = new ArrayList<>();
+
+        Fails(boolean whole) {
+            this.whole = whole;
+        }
+
+        @Override public void take(long now, Event event) {
+            if (event instanceof Event.ProxyJoined e) {
+                if (!whole) {
+                    throw new IllegalStateException("as the test wants it");
+                }
+                assertFalse(e.fresh(), "it may hold what was ordered before");
+                orders.add(new Order.SetLine(new TableId(1), new TaskId("s-1"), 1));
+                orders.add(new Order.Bind(new TableId(1), e.proxy(), 0));
+            }
+        }
+
+        @Override public List<Order> finish(long now) {
+            List<Order> ordered = List.copyOf(orders);
+            orders.clear();
+            return ordered;
+        }
+    }
+
+    @Test void aFailureInsideTheDecisionsStartsThemAnewAndNoStreamIsLost() throws Exception {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, config(discovery.getLocalPort()));
+        List<Fails> made = new ArrayList<>();
+        PlatformDaemon daemon = new PlatformDaemon(stonespring.config.PlatformFile.read(file), (settings, seed, now) -> {
+            made.add(new Fails(!made.isEmpty()));
+            return made.get(made.size() - 1);
+        });
+        daemon.start();
+        Socket proxy = new Socket("127.0.0.1", daemon.port());
+        proxy.setSoTimeout(WAIT);
+        open.add(proxy);
+        say(proxy, "SUBSCRIBE id=2 site=west rps=3.0 new=1");
+        assertEquals("CONFIG replace=1 rows=s-1:1 undrop=s-1", reader(proxy).readLine());
+        assertEquals(2, made.size());
+        daemon.stop();
+    }
+
+    @Test void decisionsThatAlwaysFailEndTheProcessInTheEnd() throws Exception {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, config(discovery.getLocalPort()));
+        PlatformDaemon daemon = new PlatformDaemon(stonespring.config.PlatformFile.read(file), (settings, seed, now) -> new Fails(false));
+        daemon.start();
+        Socket proxy = new Socket("127.0.0.1", daemon.port());
+        open.add(proxy);
+        say(proxy, "SUBSCRIBE id=2 site=west rps=3.0 new=1");
+        assertEquals("as the test wants it", daemon.awaitEnd().getMessage());
+        daemon.stop();
+    }
 }
