The platform's route read once more: one place for withdrawals, versions, dials and stops

Saw, reading the change: LineFront kept a copy of Tables' withdrawals; InstancesSource kept the version of a list that InstanceEntries holds, and a version that went back was refused after its entries were held; weights were parsed and written anew for each row; the two HTTP callers dialled and named their host each by themselves; born and started times had the same sum twice; `assigner` and `serve` had a stop hook each, and the former's, registered before the start, failed with a trace where the address was taken. Change: Tables.isWithdrawn, version in InstanceEntries and checked before anything is held, HttpClient.dial, HttpMessage.get for an address, Entries.startedAt, cli.Running for both commands, ListAsks for what decisions ask of the list; a peer's write leaves at once. No module change. Tests: two that could not fail now can: half a message at the stop, and a forgotten name that comes again. Headers were read by an assertion that always held; one stand-in call serves both tests. New: a taken address ends the start with one line.

--- a/src/main/java/stonespring/cli/AssignerCommand.java
+++ b/src/main/java/stonespring/cli/AssignerCommand.java
@@ -2,7 +2,6 @@
 
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import java.util.concurrent.atomic.AtomicBoolean;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import picocli.CommandLine.Command;
@@ -37,23 +36,8 @@
         PlatformDaemon daemon = new PlatformDaemon(file);
         // Without a handler of ours a hang-up ends the process; it must stand before anyone can reach us.
         Signal.handle(new Signal("HUP"), signal -> reload(daemon));
-        AtomicBoolean told = new AtomicBoolean();
-        Thread hook = new Thread(() -> {
-            told.set(true);
-            try {
-                daemon.stop();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }, "stop");
-        Runtime.getRuntime().addShutdownHook(hook);
         daemon.start();
-        Throwable failure = daemon.awaitEnd();
-        if (told.get()) {
-            hook.join();
-            return Exit.GOOD;
-        }
-        return Exit.fail(Exit.FAILED, "assigner: " + failure);
+        return Running.untilTold("assigner", daemon::awaitEnd, daemon::stop);
     }
 
     private void reload(PlatformDaemon daemon) {
--- a/src/main/java/stonespring/cli/Serve.java
+++ b/src/main/java/stonespring/cli/Serve.java
@@ -2,8 +2,6 @@
 
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.atomic.AtomicBoolean;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
@@ -14,8 +12,6 @@
 
 @Command(name = "serve", mixinStandardHelpOptions = true, description = "Runs an assigner until it is told to stop.")
 final class Serve implements Callable<Integer> {
-    private static final long STOP_SECONDS = 10; // s; an orderly stop takes two at the most
-
     @Parameters(paramLabel = "FILE", description = "The settings script.")
     private Path file;
 
@@ -44,29 +40,9 @@
             return Exit.fail(Exit.USAGE, e.getMessage());
         }
         Daemon daemon = new Daemon(settings);
-        AtomicBoolean told = new AtomicBoolean();
-        CountDownLatch done = new CountDownLatch(1);
-        Thread hook = new Thread(() -> {
-            told.set(true);
-            try {
-                daemon.stop();
-                done.await(STOP_SECONDS, java.util.concurrent.TimeUnit.SECONDS);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }, "stop");
         daemon.start();
-        Runtime.getRuntime().addShutdownHook(hook);
         System.out.println("serving " + settings.host() + " " + daemon.port());
         System.out.flush();
-        Throwable failure = daemon.awaitEnd();
-        if (told.get()) {
-            done.countDown(); // the hook ends the process; its exit code is the signal's
-            hook.join();
-            return Exit.GOOD;
-        }
-        Runtime.getRuntime().removeShutdownHook(hook);
-        daemon.stop();
-        return Exit.fail(Exit.FAILED, "serve: " + failure);
+        return Running.untilTold("serve", daemon::awaitEnd, daemon::stop);
     }
 }
--- a/src/main/java/stonespring/daemon/Decisions.java
+++ b/src/main/java/stonespring/daemon/Decisions.java
@@ -22,16 +22,16 @@
     }
 
     private final DecisionModule module;
-    private final Outside outside;
+    private final ListAsks list;
     private final PriorityQueue<Timer> timers =
             new PriorityQueue<>(Comparator.comparingLong(Timer::at).thenComparing(Timer::count));
     private long timerCount;
     private long finishes;
     private boolean pending;
 
-    Decisions(DecisionModule module, Outside outside) {
+    Decisions(DecisionModule module, ListAsks list) {
         this.module = module;
-        this.outside = outside;
+        this.list = list;
     }
 
     void tell(long now, Event event) {
@@ -79,9 +79,9 @@
                 // Never in the moment that set it: the module could keep the loop busy for ever.
                 timers.add(new Timer(now + Math.max(1, o.delay()), timerCount++, o.token()));
             } else if (order instanceof Order.FetchList) {
-                outside.fetchList();
+                list.fetchList();
             } else if (order instanceof Order.FollowList o) {
-                outside.followList(o.on());
+                list.followList(o.on());
             } else if (order instanceof Order.LogLine o) {
                 LOG.info("decision: {}", o.text());
             } else if (order instanceof Order.Probe || order instanceof Order.TellPeer) {
--- a/src/main/java/stonespring/daemon/PlatformDaemon.java
+++ b/src/main/java/stonespring/daemon/PlatformDaemon.java
@@ -36,7 +36,6 @@
     private static final int PENDING_BYTES = 64 << 10; // for one peer; over a hundred messages
     private static final int STRANGER_MILLIS = 1_500; // ms; half of what a bad client is owed an end in
     private static final int FILES = 56; // descriptors of the process itself, the listener and discovery's calls
-    private static final int COLLECTORS_A_ZONE = 5; // descriptors; as many as the front keeps, and one more
     private static final int STRANGERS_LEAST = 8; // descriptors; some must get in to say who they are
     private static final int STRANGERS_MOST = 256; // descriptors; more only cost memory
     // ms; a period's reports come by every stream and collector, in pieces: half of them told made the other half seem
@@ -60,7 +59,7 @@
     private final CompletableFuture<Throwable> ended = new CompletableFuture<>();
     private final List<Event> events = new ArrayList<>();
     private final List<Event> reports = new ArrayList<>();
-    private final Outside outside;
+    private final ListAsks asks;
     private final Histogram moments = new Histogram(TOOK_MOST, 2);
     private final Histogram answered = new Histogram(TOOK_MOST, 2);
     private long reportsFrom;
@@ -86,16 +85,12 @@
         this.file = file;
         this.maker = maker;
         Settings settings = file.facts().settings();
-        int reserved = settings.proxies() + COLLECTORS_A_ZONE * settings.zones() + FILES;
+        int reserved = settings.proxies() + (LineFront.COLLECTORS_A_ZONE + 1) * settings.zones() + FILES;
         int strangers = Math.max(STRANGERS_LEAST, Math.min(STRANGERS_MOST, file.sockets() - reserved));
         this.front = new LineFront(new Names(file.facts().zones(), file.facts().opTypes()), settings.proxies(), this::heard);
         this.listener = new LineListener(new LineLimits(LINE_BYTES, strangers, STRANGER_MILLIS, PENDING_BYTES), front);
         this.source = new InstancesSource(file.discovery(), new InstanceEntries(file.facts().zones(), clock.unixOffset()), loop);
-        this.outside = new Outside() {
-            @Override public void publish(List<stonespring.state.Update> updates) {
-                // This route publishes no keys.
-            }
-
+        this.asks = new ListAsks() {
             @Override public void followList(boolean on) {
                 source.follow(on);
             }
@@ -109,7 +104,7 @@
     /** Decides and then listens: whoever gets an answer finds an assigner that knows its list. */
     public void start() throws InterruptedException {
         loop.submit(() -> {
-            decisions = new Decisions(module(file.seed()), outside);
+            decisions = new Decisions(module(file.seed()), asks);
             source.start(this::listTold, list -> { });
             listTold(source.lastSeen(file.known()));
             moment();
@@ -226,7 +221,7 @@
         LOG.error("the decisions failed and start anew", cause);
         events.clear();
         reports.clear();
-        decisions = new Decisions(module(file.seed() + failures), outside);
+        decisions = new Decisions(module(file.seed() + failures), asks);
         timerAt = Long.MAX_VALUE;
         heard(new Event.ListTold(Event.ListKind.LAST_SEEN, source.held()));
         front.startAnew();
@@ -245,12 +240,8 @@
     }
 
     /** Waits until the instance ends; what ended it, null where it was stopped. */
-    public Throwable awaitEnd() throws InterruptedException {
-        try {
-            return ended.get();
-        } catch (java.util.concurrent.ExecutionException e) {
-            return e.getCause();
-        }
+    public Throwable awaitEnd() {
+        return ended.join();
     }
 
     /** Stops: no new connections, what was written goes out, all connections end. May be called once. */
--- a/src/main/java/stonespring/discovery/Entries.java
+++ b/src/main/java/stonespring/discovery/Entries.java
@@ -60,8 +60,12 @@
         return new ZoneId(at);
     }
 
-    /** The instance's time for a wall clock's milliseconds; 0, long ago, where none is given. */
     long startedAt(long unixMillis) {
+        return startedAt(unixMillis, unixOffset);
+    }
+
+    /** The instance's time for a wall clock's milliseconds; 0, long ago, where none is given. */
+    static long startedAt(long unixMillis, long unixOffset) {
         return unixMillis <= 0 ? 0 : Math.max(1, unixMillis * 10 - unixOffset);
     }
 
--- a/src/main/java/stonespring/discovery/InstanceEntries.java
+++ b/src/main/java/stonespring/discovery/InstanceEntries.java
@@ -16,7 +16,7 @@
  */
 public final class InstanceEntries {
     /** One object of the list. */
-    record Told(long version, boolean whole, List<Listing> entries) {
+    record Told(boolean whole, List<Listing> entries) {
         Event.ListTold event() {
             return new Event.ListTold(whole ? Event.ListKind.WHOLE : Event.ListKind.CHANGES, entries);
         }
@@ -28,6 +28,7 @@
     private final List<String> zones;
     private final long unixOffset;
     private final Map<TaskId, Listing> held = new HashMap<>();
+    private long version;
     private long leftOut;
 
     /**
@@ -39,7 +40,7 @@
         this.unixOffset = unixOffset;
     }
 
-    /** Reads one object and holds what it says. */
+    /** Reads one object and holds what it says; one that can't be used changes nothing held. */
     Told read(JsonNode node) throws Entries.BadList {
         if (node == null || !node.isObject()) {
             throw new Entries.BadList("it is no object");
@@ -56,6 +57,11 @@
         if (!hosts.isArray() || hosts.size() > Entries.ENTRIES_MOST) {
             throw new Entries.BadList("field 'hosts' is no list of at most " + Entries.ENTRIES_MOST + " entries");
         }
+        if (version.asLong() < this.version && !whole.asBoolean()) {
+            this.version = 0; // another history: only its whole list tells what was missed
+            throw new Entries.BadList("its version goes back to " + version.asLong());
+        }
+        this.version = version.asLong();
         Map<TaskId, Listing> before = whole.asBoolean() ? new HashMap<>(held) : held;
         List<Listing> read = new ArrayList<>();
         for (JsonNode host : hosts) {
@@ -78,7 +84,12 @@
                 held.put(listing.task(), listing);
             }
         }
-        return new Told(version.asLong(), whole.asBoolean(), read);
+        return new Told(whole.asBoolean(), read);
+    }
+
+    /** The version of what is held; 0 where only a whole list will do. */
+    long version() {
+        return version;
     }
 
     /** What is held now. */
@@ -118,8 +129,7 @@
             }
             zone = last.zone().index();
         }
-        long unixMillis = (long) born.asDouble(0);
         return new Listing(new TaskId(name), new ZoneId(zone), weight.asDouble(1), state,
-                unixMillis <= 0 ? 0 : Math.max(1, unixMillis * 10 - unixOffset));
+                Entries.startedAt((long) born.asDouble(0), unixOffset));
     }
 }
--- a/src/main/java/stonespring/discovery/InstancesSource.java
+++ b/src/main/java/stonespring/discovery/InstancesSource.java
@@ -41,7 +41,6 @@
     private InetSocketAddress address;
     private Consumer<Event.ListTold> told;
     private Consumer<List<Listing>> list;
-    private long version;
     private boolean following;
     private Watch watch;
     private Watch moving;
@@ -57,9 +56,7 @@
     public Event.ListTold lastSeen(JsonNode known) {
         if (known != null) {
             try {
-                InstanceEntries.Told last = entries.read(known);
-                version = last.version();
-                return new Event.ListTold(Event.ListKind.LAST_SEEN, last.entries());
+                return new Event.ListTold(Event.ListKind.LAST_SEEN, entries.read(known).entries());
             } catch (Entries.BadList e) {
                 LOG.warn("the list known before the start is not used: {}", e.getMessage());
             }
@@ -115,10 +112,6 @@
         });
     }
 
-    private HttpMessage request(InetSocketAddress to, String target) {
-        return HttpMessage.get(target).with("host", to.getHostString() + ":" + to.getPort());
-    }
-
     /** The one answer to what the decisions asked last. */
     private void failed(String cause) {
         LOG.warn("discovery {}: the list held stays: {}", address, cause);
@@ -133,7 +126,7 @@
 
         Watch(InetSocketAddress to) {
             this.to = to;
-            this.call = new HttpWatch(loop, to, request(to, PATH + "?stream=1&index=" + version), ANSWER_MILLIS,
+            this.call = new HttpWatch(loop, to, HttpMessage.get(to, PATH + "?stream=1&index=" + entries.version()), ANSWER_MILLIS,
                     SILENCE_MILLIS, LINE_MOST, this);
         }
 
@@ -170,14 +163,7 @@
                 return; // a sign of life
             }
             try {
-                JsonNode node = JSON.readTree(bytes);
-                InstanceEntries.Told read = entries.read(node);
-                if (read.version() < version && !read.whole()) {
-                    version = 0; // another history: only its whole list tells what was missed
-                    throw new Entries.BadList("its version goes back to " + read.version());
-                }
-                version = read.version();
-                told.accept(read.event());
+                told.accept(entries.read(JSON.readTree(bytes)).event());
                 list.accept(entries.list());
             } catch (Entries.BadList e) {
                 broken(e.getMessage());
@@ -214,14 +200,12 @@
     }
 
     @Override public void fetch() {
-        loop.execute(() -> client.call(address, request(address, PATH), ANSWER_MILLIS, (answer, failure) -> {
+        loop.execute(() -> client.call(address, HttpMessage.get(address, PATH), ANSWER_MILLIS, (answer, failure) -> {
             try {
                 if (answer == null || answer.status() != 200) {
                     throw new Entries.BadList(answer == null ? "the ask failed: " + failure : "it answers " + answer.status());
                 }
-                InstanceEntries.Told read = entries.read(JSON.readTree(answer.body()));
-                version = read.version();
-                told.accept(new Event.ListTold(Event.ListKind.WHOLE, read.entries()));
+                told.accept(new Event.ListTold(Event.ListKind.WHOLE, entries.read(JSON.readTree(answer.body())).entries()));
                 list.accept(entries.list());
             } catch (Entries.BadList e) {
                 failed(e.getMessage());
--- a/src/main/java/stonespring/discovery/RegistrySource.java
+++ b/src/main/java/stonespring/discovery/RegistrySource.java
@@ -71,7 +71,7 @@
         String target = "/v1/health/service/" + service
                 + (index > 0 ? "?index=" + index + "&wait=" + waitSeconds + "s" : "");
         long timeout = (index > 0 ? waitSeconds * 1000L : 0) + SLACK_MILLIS;
-        giveUp = client.call(address, request(target), timeout, (answer, failure) -> {
+        giveUp = client.call(address, HttpMessage.get(address, target), timeout, (answer, failure) -> {
             if (mine != ask || !following) {
                 return;
             }
@@ -86,10 +86,6 @@
         });
     }
 
-    private HttpMessage request(String target) {
-        return HttpMessage.get(target).with("host", address.getHostString() + ":" + address.getPort());
-    }
-
     private long take(HttpMessage answer, HttpClient.Failure failure, boolean whole) throws Entries.BadList {
         if (answer == null) {
             throw new Entries.BadList("the ask failed: " + failure);
@@ -158,7 +154,7 @@
     }
 
     @Override public void fetch() {
-        loop.execute(() -> client.call(address, request("/v1/health/service/" + service), SLACK_MILLIS, (answer, failure) -> {
+        loop.execute(() -> client.call(address, HttpMessage.get(address, "/v1/health/service/" + service), SLACK_MILLIS, (answer, failure) -> {
             try {
                 take(answer, failure, true);
             } catch (Entries.BadList e) {
--- a/src/main/java/stonespring/front/line/LineFront.java
+++ b/src/main/java/stonespring/front/line/LineFront.java
@@ -1,12 +1,9 @@
 package stonespring.front.line;
 
-import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Consumer;
@@ -31,7 +28,7 @@
  */
 public final class LineFront implements LineEvents {
     private static final Logger LOG = LoggerFactory.getLogger(LineFront.class);
-    private static final int COLLECTORS_A_ZONE = 4; // connections; one, and old ones whose end is not seen yet
+    public static final int COLLECTORS_A_ZONE = 4; // connections; one, and old ones whose end is not seen yet
     private static final int MARKS_MOST = 64; // marks that one stream may still answer; more means it never does
     private static final int LISTED_MOST = 60_000; // tasks; over the most of a list, and of those gone the latest
     private static final int DROPPED_LOGGED = 50; // messages told in the log; the rest are counted
@@ -67,7 +64,6 @@
     private final TreeMap<Integer, Stream> streams = new TreeMap<>();
     private final Map<Integer, TreeSet<String>> shut = new TreeMap<>();
     private final Map<Integer, LinkedHashSet<LinePeer>> collectors = new LinkedHashMap<>();
-    private final Set<String> withdrawn = new HashSet<>();
     private final LinkedHashSet<TaskId> listed = new LinkedHashSet<>();
     private Tables tables;
     private long dropped;
@@ -113,7 +109,7 @@
         if (old != null) {
             old.peer.end("it came back on a newer stream"); // which tells that it left
         }
-        StreamTable table = new StreamTable(names.opTypes(), withdrawn, shut.computeIfAbsent(id, i -> new TreeSet<>()),
+        StreamTable table = new StreamTable(names.opTypes(), tables, shut.computeIfAbsent(id, i -> new TreeSet<>()),
                 !hello.fresh());
         Stream stream = new Stream(hello, peer, table);
         streams.put(id, stream);
@@ -192,7 +188,6 @@
         while (listed.size() > LISTED_MOST) {
             TaskId oldest = listed.iterator().next();
             listed.remove(oldest);
-            withdrawn.remove(oldest.name());
             shut.values().forEach(of -> of.remove(oldest.name()));
             tables.forget(oldest);
         }
@@ -201,11 +196,10 @@
     /** The decisions start anew: no table, level or withdrawal of theirs stands; who is joined joins again. */
     public void startAnew() {
         tables = new Tables(names.opTypes());
-        withdrawn.clear();
         for (Map.Entry<Integer, Stream> entry : streams.entrySet()) {
             Stream old = entry.getValue();
             Event.ProxyJoined hello = new Event.ProxyJoined(old.hello.proxy(), old.hello.zone(), old.hello.opsPerSecond(), false);
-            Stream again = new Stream(hello, old.peer, new StreamTable(names.opTypes(), withdrawn, shut.get(entry.getKey()), true));
+            Stream again = new Stream(hello, old.peer, new StreamTable(names.opTypes(), tables, shut.get(entry.getKey()), true));
             entry.setValue(again);
             old.peer.keep(again);
             tables.joined(hello.proxy(), null);
@@ -215,16 +209,6 @@
 
     /** Writes what one reply orders: one message for each proxy concerned, never mixed with the next. */
     public void carryOut(List<Order> orders, long now) {
-        for (Order order : orders) {
-            if (order instanceof Order.Withdraw o) {
-                if (o.out()) {
-                    withdrawn.add(o.task().name());
-                } else {
-                    withdrawn.remove(o.task().name());
-                }
-            }
-        }
-        List<Stream> written = new ArrayList<>();
         for (ProxyMessage message : tables.messages(orders, now)) {
             Stream stream = streams.get(message.proxy().number());
             List<String> parts = stream.table.parts(message);
@@ -234,14 +218,11 @@
             if (message.mark() != null) {
                 mark(stream, message.mark());
             }
-            written.add(stream);
-            String text = String.join("\r\n", parts) + "\r\n";
             if (LOG.isDebugEnabled()) {
                 LOG.debug("{}: {} lines: {}", stream, StreamTable.price(parts), String.join(" | ", parts));
             }
-            stream.peer.write(text);
+            stream.peer.write(String.join("\r\n", parts) + "\r\n");
         }
-        written.forEach(stream -> stream.peer.flush());
     }
 
     private static void mark(Stream stream, MarkId mark) {
--- a/src/main/java/stonespring/front/line/StreamTable.java
+++ b/src/main/java/stonespring/front/line/StreamTable.java
@@ -1,7 +1,8 @@
 package stonespring.front.line;
 
-import java.math.BigDecimal;
 import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -10,6 +11,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import stonespring.state.ProxyMessage;
+import stonespring.state.Tables;
 
 /**
  * What one proxy holds, as its stream's orders made it: whole messages of the published state become the platform's
@@ -20,6 +22,7 @@
 final class StreamTable {
     private static final int ROWS_A_PART = 512; // lines; far under the bytes of a message, and no table has so many
     private static final String ALL = "every";
+    private static final String NONE = "0"; // the weight that takes a line away
 
     private record Level(double level, int again) {
         /** A table's own level and the one for all: the lower counts, and the table's own way of trying again. */
@@ -29,23 +32,23 @@
     }
 
     private final List<String> opTypes;
-    private final Set<String> withdrawn;
+    private final Tables tables;
     private final TreeSet<String> shut;
     private final boolean unknown;
     private final TreeSet<String> sure = new TreeSet<>(); // tasks that this stream was told of, out or in
     private final String[] bound;
-    private final TreeMap<String, TreeMap<String, Double>> lines = new TreeMap<>();
+    private final TreeMap<String, TreeMap<String, String>> lines = new TreeMap<>();
     private final Map<String, Level[]> levels = new LinkedHashMap<>();
     private final Level[] written;
 
     /**
-     * @param withdrawn the tasks that this instance has withdrawn; the caller's, it changes
+     * @param tables what this instance ordered: tells which tasks it has withdrawn
      * @param shut the tasks that this instance had the proxy shut out, over its streams; changed here
      * @param unknown whether the proxy may shut out other tasks too: it holds what others ordered
      */
-    StreamTable(List<String> opTypes, Set<String> withdrawn, TreeSet<String> shut, boolean unknown) {
+    StreamTable(List<String> opTypes, Tables tables, TreeSet<String> shut, boolean unknown) {
         this.opTypes = opTypes;
-        this.withdrawn = withdrawn;
+        this.tables = tables;
         this.shut = shut;
         this.unknown = unknown;
         this.bound = new String[opTypes.size()];
@@ -55,7 +58,7 @@
     /** The parts of one message: each a line without its end; empty where nothing would change. */
     List<String> parts(ProxyMessage message) {
         Set<String> replaced = new LinkedHashSet<>();
-        Map<String, Map<String, Double>> changed = new LinkedHashMap<>();
+        Map<String, Map<String, String>> changed = new LinkedHashMap<>();
         Set<String> out = new TreeSet<>();
         Set<String> in = new TreeSet<>();
         for (Map.Entry<String, String> change : message.changes().entrySet()) {
@@ -67,13 +70,13 @@
                     replaced.add(value);
                 }
                 case "line" -> {
-                    TreeMap<String, Double> table = lines.computeIfAbsent(key[1], t -> new TreeMap<>());
+                    TreeMap<String, String> table = lines.computeIfAbsent(key[1], t -> new TreeMap<>());
                     if (value == null) {
                         table.remove(key[2]);
                     } else {
-                        table.put(key[2], Double.valueOf(value));
+                        table.put(key[2], value);
                     }
-                    changed.computeIfAbsent(key[1], t -> new LinkedHashMap<>()).put(key[2], value == null ? 0 : Double.valueOf(value));
+                    changed.computeIfAbsent(key[1], t -> new LinkedHashMap<>()).put(key[2], value == null ? NONE : value);
                 }
                 case "level" -> {
                     levels.computeIfAbsent(key[1], t -> new Level[opTypes.size()])[opTypes.indexOf(key[2])] = level(value);
@@ -90,7 +93,7 @@
         replaced.stream().filter(table -> !changed.containsKey(table))
                 .forEach(table -> tablePart(parts, table, true, Map.of(), out, in));
         // What changes in a table that the proxy is not bound to is not told: it comes whole when it is bound again.
-        Set<String> used = new TreeSet<>(List.of(nonNull(bound)));
+        Set<String> used = new HashSet<>(Arrays.asList(bound));
         lines.keySet().retainAll(used);
         levels.keySet().removeIf(table -> !table.equals(ALL) && !used.contains(table));
         levelParts(parts);
@@ -109,10 +112,6 @@
         return shut.contains(task) || unknown && !sure.contains(task);
     }
 
-    private static String[] nonNull(String[] some) {
-        return java.util.Arrays.stream(some).filter(java.util.Objects::nonNull).toArray(String[]::new);
-    }
-
     private static Level level(String word) {
         if (word == null) {
             return null;
@@ -135,13 +134,13 @@
         return some.isEmpty() ? null : all ? "" : " for=" + some;
     }
 
-    private void tablePart(List<String> parts, String table, boolean replace, Map<String, Double> changes, Set<String> out,
+    private void tablePart(List<String> parts, String table, boolean replace, Map<String, String> changes, Set<String> out,
                            Set<String> in) {
         String types = types(k -> table.equals(bound[k]));
         if (types == null) {
             return; // no op type goes by it any more
         }
-        Map<String, Double> rows = replace ? lines.getOrDefault(table, new TreeMap<>()) : changes;
+        Map<String, String> rows = replace ? lines.getOrDefault(table, new TreeMap<>()) : changes;
         if (replace) {
             for (int k = 0; k < bound.length; k++) {
                 written[k] = table.equals(bound[k]) ? null : written[k]; // a replaced table forgets its levels
@@ -149,12 +148,12 @@
         }
         StringBuilder part = new StringBuilder();
         int count = 0;
-        for (Map.Entry<String, Double> row : rows.entrySet()) {
+        for (Map.Entry<String, String> row : rows.entrySet()) {
             String task = row.getKey();
-            if (row.getValue() > 0) {
-                (withdrawn.contains(task) ? out : in).add(task);
+            if (!row.getValue().equals(NONE)) {
+                (tables.isWithdrawn(task) ? out : in).add(task);
             }
-            part.append(part.isEmpty() ? " rows=" : ",").append(task).append(':').append(plain(row.getValue()));
+            part.append(part.isEmpty() ? " rows=" : ",").append(task).append(':').append(row.getValue());
             if (++count % ROWS_A_PART == 0) {
                 parts.add(types + (replace && count == ROWS_A_PART ? " replace=1" : "") + part);
                 part.setLength(0);
@@ -178,7 +177,7 @@
             }
         }
         alike.forEach((level, of) -> {
-            String words = " gate=" + plain(level.level) + " again=" + level.again;
+            String words = " gate=" + Tables.weight(Math.max(0, level.level)) + " again=" + level.again;
             String types = types(of::contains);
             if (parts.size() == 1 && parts.get(0).startsWith(types) && sameTypes(parts.get(0), types)) {
                 parts.set(0, parts.get(0) + words);
@@ -209,11 +208,6 @@
         return lines;
     }
 
-    /** A figure without an exponent, and never below 0. */
-    private static String plain(double value) {
-        return BigDecimal.valueOf(Math.max(0, value)).stripTrailingZeros().toPlainString();
-    }
-
     /** Lines that the channel charges for a message's parts, its head not counted. */
     static int price(List<String> parts) {
         int lines = 0;
--- a/src/main/java/stonespring/http/HttpClient.java
+++ b/src/main/java/stonespring/http/HttpClient.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -67,14 +68,19 @@
         return () -> call.end(null, Failure.TIMED_OUT);
     }
 
-    private void dial(Call call) {
-        ChannelFuture dial = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+    /** Opens a connection with these handlers, which are its own. */
+    static ChannelFuture dial(EventLoop loop, InetSocketAddress to, int connectMillis, ChannelHandler... handlers) {
+        return new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis).option(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new HttpDecoder(false, bodyMost), new Reader());
+                        channel.pipeline().addLast(handlers);
                     }
-                }).connect(call.to);
+                }).connect(to);
+    }
+
+    private void dial(Call call) {
+        ChannelFuture dial = dial(loop, call.to, connectMillis, new HttpDecoder(false, bodyMost), new Reader());
         call.channel = dial.channel();
         dial.addListener(f -> {
             if (!f.isSuccess()) {
--- a/src/main/java/stonespring/http/HttpMessage.java
+++ b/src/main/java/stonespring/http/HttpMessage.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Locale;
@@ -18,6 +19,11 @@
         return new HttpMessage("GET", target, new LinkedHashMap<>(), NONE);
     }
 
+    /** The same, for whom it is sent to. */
+    public static HttpMessage get(InetSocketAddress to, String target) {
+        return get(target).with("host", to.getHostString() + ":" + to.getPort());
+    }
+
     public static HttpMessage answer(int status, String text) {
         Map<String, String> headers = new LinkedHashMap<>();
         if (!text.isEmpty()) {
--- a/src/main/java/stonespring/http/HttpWatch.java
+++ b/src/main/java/stonespring/http/HttpWatch.java
@@ -1,15 +1,10 @@
 package stonespring.http;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
@@ -44,13 +39,7 @@
         this.loop = loop;
         this.listener = listener;
         this.silenceMillis = silenceMillis;
-        ChannelFuture dial = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, answerMillis).option(ChannelOption.TCP_NODELAY, true)
-                .handler(new ChannelInitializer<SocketChannel>() {
-                    @Override protected void initChannel(SocketChannel made) {
-                        made.pipeline().addLast(new HttpDecoder(false, chunkMost, true), new Reader());
-                    }
-                }).connect(to);
+        ChannelFuture dial = HttpClient.dial(loop, to, answerMillis, new HttpDecoder(false, chunkMost, true), new Reader());
         channel = dial.channel();
         silence = loop.schedule(() -> end("no answer within " + answerMillis + " ms"), answerMillis, TimeUnit.MILLISECONDS);
         dial.addListener(f -> {
--- a/src/main/java/stonespring/line/LineListener.java
+++ b/src/main/java/stonespring/line/LineListener.java
@@ -10,7 +10,6 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -62,18 +61,13 @@
         return limits;
     }
 
-    int strangers() {
-        return strangers.size();
-    }
-
     /** A new connection: it has some time to say who it is. */
     Future<?> stranger(LinePeer peer) {
         strangers.add(peer);
         Future<?> end = peer.channel().eventLoop().schedule(() -> peer.end("not joined within " + limits.strangerMillis() + " ms"),
                 limits.strangerMillis(), TimeUnit.MILLISECONDS);
         if (strangers.size() > limits.strangers()) {
-            Iterator<LinePeer> oldest = strangers.iterator();
-            oldest.next().end("too many strangers");
+            strangers.iterator().next().end("too many strangers");
         }
         return end;
     }
--- a/src/main/java/stonespring/line/LinePeer.java
+++ b/src/main/java/stonespring/line/LinePeer.java
@@ -40,11 +40,15 @@
     /** It is a stranger no longer. */
     public void keep(Object purpose) {
         keptFor = purpose;
+        noStranger();
+    }
+
+    private void noStranger() {
         strangerEnd.cancel(false);
         listener.known(this);
     }
 
-    /** Writes text of whole lines; it leaves with the next {@link #flush}. A peer too far behind is cut off. */
+    /** Writes text of whole lines, at once. A peer too far behind is cut off. */
     public void write(String lines) {
         if (over) {
             return;
@@ -55,11 +59,7 @@
             end("it reads too slowly: over " + listener.limits().pendingBytes() + " bytes wait for it");
             return;
         }
-        channel.write(bytes(lines), channel.voidPromise());
-    }
-
-    public void flush() {
-        channel.flush();
+        channel.writeAndFlush(bytes(lines), channel.voidPromise());
     }
 
     private static ByteBuf bytes(String text) {
@@ -74,8 +74,7 @@
         over = true;
         listener.ended(this, cause);
         if (keptFor == null) {
-            strangerEnd.cancel(false);
-            listener.known(this);
+            noStranger();
             String word = cause.replaceAll("[^A-Za-z0-9]+", "-");
             channel.writeAndFlush(bytes(REFUSAL + " reason=" + word.substring(0, Math.min(80, word.length())) + "\r\n"))
                     .addListener(ChannelFutureListener.CLOSE);
@@ -100,7 +99,6 @@
         }
         if (message.kind().equals("PING")) {
             write("PONG\r\n");
-            flush();
             return;
         }
         events.message(this, message);
@@ -114,8 +112,7 @@
         if (keptFor != null) {
             events.closed(this);
         } else {
-            strangerEnd.cancel(false);
-            listener.known(this);
+            noStranger();
         }
     }
 
--- a/src/main/java/stonespring/state/Tables.java
+++ b/src/main/java/stonespring/state/Tables.java
@@ -135,7 +135,7 @@
     }
 
     /** A weight as the wire has it: plain decimals, never an exponent. */
-    static String weight(double weight) {
+    public static String weight(double weight) {
         return java.math.BigDecimal.valueOf(weight).stripTrailingZeros().toPlainString();
     }
 
@@ -237,6 +237,11 @@
         }
     }
 
+    /** Whether a task is withdrawn now. */
+    public boolean isWithdrawn(String task) {
+        return withdrawn.contains(task);
+    }
+
     /** A task so long gone that no proxy holds it any more: its withdrawal ends with it. */
     public void forget(TaskId task) {
         withdrawn.remove(task.name());
--- a/src/test/java/stonespring/daemon/PlatformTest.java
+++ b/src/test/java/stonespring/daemon/PlatformTest.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import stonespring.http.CallByHand;
 import stonespring.model.Event;
 import stonespring.model.Order;
 import stonespring.model.TableId;
@@ -103,19 +104,10 @@
         socket.getOutputStream().write((line + "\r\n").getBytes(StandardCharsets.UTF_8));
     }
 
-    private static String ask(Socket call) throws IOException {
-        BufferedReader in = reader(call);
-        String first = in.readLine();
-        while (!in.readLine().isEmpty()) {
-            assertNotNull(first); // the headers
-        }
-        return first;
-    }
-
-    private static void watch(Socket call, String object) throws IOException {
-        String line = object + "\n";
-        call.getOutputStream().write(("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(line.length())
-                + "\r\n" + line + "\r\n").getBytes(StandardCharsets.UTF_8));
+    private CallByHand watched(ServerSocket server) throws IOException {
+        CallByHand call = new CallByHand(server);
+        open.add(call);
+        return call;
     }
 
     /** From the first sign of life over tables, a new configuration, a bad one and a move of discovery to an orderly end. */
@@ -125,10 +117,9 @@
         BufferedReader hears = reader(proxy);
         say(proxy, "PING");
         assertEquals("PONG", hears.readLine());
-        Socket call = discovery.accept();
-        open.add(call);
-        assertEquals("GET /registry/instances?stream=1&index=4 HTTP/1.1", ask(call));
-        watch(call, list(5, host("s-1", "west"), host("s-2", "east"), host("s-3", "west")));
+        CallByHand call = watched(discovery);
+        assertEquals("/registry/instances?stream=1&index=4", call.target);
+        call.raw(CallByHand.CHUNKS).chunk(list(5, host("s-1", "west"), host("s-2", "east"), host("s-3", "west")) + "\n");
         say(proxy, "SUBSCRIBE id=2 site=west rps=3.0 new=1");
         String table = hears.readLine();
         assertTrue(table.matches("CONFIG replace=1 rows=s-[123]:[0-9.]+(,s-[123]:[0-9.]+)* gate=1 again=1 stamp=[0-9]+"), table);
@@ -142,11 +133,10 @@
         awaitLog("the new configuration is not used");
         Files.writeString(file, config(moved.getLocalPort()));
         hangUp();
-        Socket second = moved.accept();
-        open.add(second);
-        assertEquals("GET /registry/instances?stream=1&index=5 HTTP/1.1", ask(second));
-        watch(second, list(6, host("s-1", "west"), host("s-2", "east")));
-        assertEquals(-1, call.getInputStream().read(), "the old address is let go once the new one answered");
+        CallByHand second = watched(moved);
+        assertEquals("/registry/instances?stream=1&index=5", second.target);
+        second.raw(CallByHand.CHUNKS).chunk(list(6, host("s-1", "west"), host("s-2", "east")) + "\n");
+        assertEquals(-1, call.socket.getInputStream().read(), "the old address is let go once the new one answered");
         String drained = hears.readLine(); // s-3 is gone: its line leaves at once
         assertNotNull(drained);
         say(proxy, "PING");
@@ -160,8 +150,11 @@
         long began = System.nanoTime();
         assertTrue(process.waitFor(WAIT, TimeUnit.MILLISECONDS));
         assertTrue(System.nanoTime() - began < TimeUnit.SECONDS.toNanos(5), "it ends soon");
-        String last = hears.readLine();
-        assertTrue(last == null || last.endsWith("=" + last.substring(last.lastIndexOf('=') + 1)), "no half message: " + last);
+        StringBuilder rest = new StringBuilder();
+        for (int next = hears.read(); next >= 0; next = hears.read()) {
+            rest.append((char) next);
+        }
+        assertTrue(rest.isEmpty() || rest.toString().endsWith("\r\n"), "no half message: " + rest);
     }
 
     private void hangUp() throws Exception {
@@ -253,4 +246,10 @@
         assertEquals("as the test wants it", daemon.awaitEnd().getMessage());
         daemon.stop();
     }
+
+    @Test void anAddressThatIsTakenEndsTheStartWithOneLine() throws Exception {
+        assertEquals(1, run(config(discovery.getLocalPort()).replace("\"listen\":\"127.0.0.1:0\"",
+                "\"listen\":\"127.0.0.1:" + discovery.getLocalPort() + "\"")).waitFor());
+        assertTrue(log().contains("stonespring: assigner: ") && !log().contains("\tat "), log());
+    }
 }
--- a/src/test/java/stonespring/decision/LongRunTest.java
+++ b/src/test/java/stonespring/decision/LongRunTest.java
@@ -1,6 +1,5 @@
 package stonespring.decision;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -76,8 +75,13 @@
         assertTrue(withdrawn(told) <= most, withdrawn(told) + " of " + REPLACED + " are told to have left");
         assertTrue(places() <= most, places() + " places for " + REPLACED + " tasks");
         // A name that comes again after all is a task like any other.
-        tell(changes(Fleet.listing("t3", 0, Listing.State.READY, now)));
-        assertEquals(0, withdrawn(tell(changes(Fleet.listing("t3", 0, Listing.State.READY, now)))));
+        tell(changes(Fleet.listing("t3", 0, Listing.State.READY, 0)));
+        Listing[] rest = new Listing[TASKS];
+        for (int i = 0; i < TASKS; i++) {
+            rest[i] = Fleet.listing("t" + (REPLACED - 1 - i), 0, Listing.State.GONE, 0);
+        }
+        assertTrue(tell(changes(rest)).stream().anyMatch(o -> o instanceof Order.SetLine line && line.weight() > 0
+                && line.task().name().equals("t3")), "the only one left takes all lines");
     }
 
     /** How many tasks the figures have room for: no order shows what is merely kept. */
--- a/src/test/java/stonespring/discovery/InstancesSourceTest.java
+++ b/src/test/java/stonespring/discovery/InstancesSourceTest.java
@@ -8,13 +8,9 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -22,13 +18,14 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import stonespring.http.CallByHand;
 import stonespring.model.Event;
 import stonespring.model.Listing;
 
 /** The platform's list against a stand-in that answers by hand, and fails in each way. */
 final class InstancesSourceTest {
     private static final int WAIT = 10_000; // ms; an upper bound, every wait ends with its event
-    private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    private static final String HEAD = CallByHand.CHUNKS;
     private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final LinkedBlockingQueue<Event.ListTold> told = new LinkedBlockingQueue<>();
     private final InstanceEntries entries = new InstanceEntries(List.of("west", "east"), 500);
@@ -36,29 +33,10 @@
     private ServerSocket discovery;
     private InstancesSource source;
 
-    /** One call as the stand-in sees it. */
-    private final class Call {
-        private final Socket socket;
-        private final String target;
-
-        Call(ServerSocket server) throws IOException {
-            socket = server.accept();
-            open.add(socket);
-            BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
-            target = in.readLine().split(" ")[1];
-            while (!in.readLine().isEmpty()) {
-                assertTrue(true); // the headers
-            }
-        }
-
-        Call raw(String text) throws IOException {
-            socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
-            return this;
-        }
-
-        Call chunk(String text) throws IOException {
-            return raw(Integer.toHexString(text.getBytes(StandardCharsets.UTF_8).length) + "\r\n" + text + "\r\n");
-        }
+    private CallByHand call(ServerSocket server) throws IOException {
+        CallByHand call = new CallByHand(server);
+        open.add(call);
+        return call;
     }
 
     private ServerSocket server() throws IOException {
@@ -119,7 +97,7 @@
     @Test void aWatchTellsWhatChangedInWhateverPiecesItComes() throws Exception {
         knows(41);
         source.follow(true);
-        Call watch = new Call(discovery);
+        CallByHand watch = call(discovery);
         assertEquals("/registry/instances?stream=1&index=41", watch.target);
         String first = object(43, false, host("s-1", "Terminating"), host("s-2", "Ready"));
         watch.raw(HEAD).chunk(first.substring(0, 30)).chunk(first.substring(30)).chunk("\n").chunk("\r\n");
@@ -136,31 +114,31 @@
             HEAD + "5\r\n[1]\r\n\r\n", HEAD + "c\r\n{\"seq\":\"a\"}\n\r\n"};
         for (String failure : failures) {
             source.follow(true);
-            Call watch = new Call(discovery).raw(failure);
+            CallByHand watch = call(discovery).raw(failure);
             assertEquals("/registry/instances?stream=1&index=41", watch.target);
             assertEquals("FAILED", words(next()), failure);
         }
         source.follow(true);
-        new Call(discovery).socket.close();
+        call(discovery).socket.close();
         assertEquals("FAILED", words(next()), "a reset");
         source.follow(true);
-        Call half = new Call(discovery).raw(HEAD).chunk("{\"seq\":50,\"who");
+        CallByHand half = call(discovery).raw(HEAD).chunk("{\"seq\":50,\"who");
         half.socket.close();
         assertEquals("FAILED", words(next()), "half an object");
         source.follow(true);
-        Call back = new Call(discovery);
+        CallByHand back = call(discovery);
         assertEquals("/registry/instances?stream=1&index=41", back.target, "half an object moved nothing");
         back.raw(HEAD).chunk(object(7, false));
         assertEquals("FAILED", words(next()), "the version went back");
         source.follow(true);
-        assertEquals("/registry/instances?stream=1&index=0", new Call(discovery).target, "only a whole list tells what was missed");
+        assertEquals("/registry/instances?stream=1&index=0", call(discovery).target, "only a whole list tells what was missed");
         source.follow(false);
         assertTrue(told.isEmpty());
     }
 
     @Test void silenceIsAFailure() throws Exception {
         source.follow(true);
-        new Call(discovery).raw(HEAD).chunk("\n");
+        call(discovery).raw(HEAD).chunk("\n");
         long began = System.nanoTime();
         assertEquals("FAILED", words(next()));
         assertTrue(System.nanoTime() - began > 2_000_000_000L, "not before it was due to say something");
@@ -169,7 +147,7 @@
     @Test void aBadEntryIsLeftOutAndTheOneHeldStays() throws Exception {
         knows(41);
         source.follow(true);
-        Call watch = new Call(discovery).raw(HEAD);
+        CallByHand watch = call(discovery).raw(HEAD);
         for (String[] spoil : new String[][] {{"\"site\":\"east\"", "\"site\":\"mars\""}, {"\"health\":\"Ready\"", "\"health\":\"?\""},
             {"\"share\":1.5", "\"share\":-1"}, {"\"share\":1.5", "\"share\":\"x\""}, {"\"born_ms\":1000", "\"born_ms\":1e300"},
             {"\"born_ms\":1000", "\"born_ms\":-1"}}) {
@@ -186,11 +164,11 @@
 
     @Test void theNewAddressIsAskedBeforeTheOldIsLetGo() throws Exception {
         source.follow(true);
-        Call old = new Call(discovery).raw(HEAD).chunk(object(5, true, host("s-1", "Ready")));
+        CallByHand old = call(discovery).raw(HEAD).chunk(object(5, true, host("s-1", "Ready")));
         next();
         ServerSocket other = server();
         source.moveTo(at(other));
-        Call moved = new Call(other);
+        CallByHand moved = call(other);
         assertEquals("/registry/instances?stream=1&index=5", moved.target);
         old.chunk(object(6, false, host("s-2", "Ready")));
         assertEquals("CHANGES s-2/READY/1/1.5/9500", words(next()), "the old one still tells");
@@ -200,17 +178,17 @@
         moved.socket.close();
         assertEquals("FAILED", words(next()), "one failure, of the new one");
         source.follow(true);
-        assertNotNull(new Call(other));
+        assertNotNull(call(other));
     }
 
     @Test void aMoveThatFailsIsTriedAgainWhileTheOldOneLasts() throws Exception {
         source.follow(true);
-        Call old = new Call(discovery).raw(HEAD).chunk(object(5, true, host("s-1", "Ready")));
+        CallByHand old = call(discovery).raw(HEAD).chunk(object(5, true, host("s-1", "Ready")));
         next();
         ServerSocket other = server();
         source.moveTo(at(other));
-        new Call(other).raw("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
-        Call again = new Call(other);
+        call(other).raw("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        CallByHand again = call(other);
         old.socket.close(); // the old one ends while the new one has not answered
         again.raw(HEAD).chunk(object(6, false, host("s-2", "Ready")));
         assertEquals("CHANGES s-2/READY/1/1.5/9500", words(next()), "and nothing failed");
@@ -219,12 +197,12 @@
     @Test void theWholeListIsAskedOnce() throws Exception {
         source.fetch();
         String body = object(9, true, host("s-1", "Ready"));
-        Call call = new Call(discovery);
+        CallByHand call = call(discovery);
         assertEquals("/registry/instances", call.target);
         call.raw("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
         assertEquals("WHOLE s-1/READY/1/1.5/9500", words(next()));
         source.fetch();
-        new Call(discovery).socket.close();
+        call(discovery).socket.close();
         assertEquals("FAILED", words(next()));
     }
 
--- a/src/test/java/stonespring/front/line/SameOrdersTest.java
+++ b/src/test/java/stonespring/front/line/SameOrdersTest.java
@@ -219,7 +219,6 @@
         SplittableRandom random = new SplittableRandom(seed);
         Simulated simulated = new Simulated();
         Tables tables = new Tables(TYPES);
-        Set<String> withdrawn = new HashSet<>();
         Map<Integer, OnSockets> proxies = new TreeMap<>();
         Map<Integer, StreamTable> streams = new TreeMap<>();
         Map<Integer, TreeSet<String>> shut = new TreeMap<>();
@@ -236,7 +235,7 @@
                 proxies.put(number, proxy);
                 simulated.bound.put(number, new Integer[TYPES.size()]);
                 tables.joined(new ProxyId(number), null);
-                streams.put(number, new StreamTable(TYPES, withdrawn, shut.computeIfAbsent(number, n -> new TreeSet<>()), !fresh));
+                streams.put(number, new StreamTable(TYPES, tables, shut.computeIfAbsent(number, n -> new TreeSet<>()), !fresh));
             }
             List<Order> orders = new ArrayList<>();
             for (int i = random.nextInt(6); i >= 0; i--) {
@@ -247,15 +246,6 @@
                 orders.add(new Order.Mark(new MarkId(step), false));
             }
             orders.forEach(simulated::take);
-            for (Order order : orders) {
-                if (order instanceof Order.Withdraw o) {
-                    if (o.out()) {
-                        withdrawn.add(o.task().name());
-                    } else {
-                        withdrawn.remove(o.task().name());
-                    }
-                }
-            }
             for (ProxyMessage message : tables.messages(orders, 1)) {
                 List<String> parts = streams.get(message.proxy().number()).parts(message);
                 if (!parts.isEmpty()) {
@@ -283,7 +273,7 @@
     @ValueSource(ints = {2, 5, 30})
     void theUsualOrdersHaveTheSimulatorsPrice(int lines) {
         Tables tables = new Tables(TYPES);
-        StreamTable stream = new StreamTable(TYPES, new HashSet<>(), new TreeSet<>(), false);
+        StreamTable stream = new StreamTable(TYPES, tables, new TreeSet<>(), false);
         tables.joined(new ProxyId(0), null);
         List<Order> first = new ArrayList<>(List.of(new Order.Admit(Order.EVERY_TABLE, 7, Order.Retry.ON_PROOF, 1)));
         for (int i = 0; i < lines; i++) {
