A list that the settings call pushed is watched on the platform too: no drain missed for ever

Ruled out: entries left out for bad fields (none logged), a watch that broke (no "the list held stays"), late orders (nothing was ordered).

To blame: Facts.read takes discovery == "on_request" into Settings.listOnRequest and Assigner's Roster follows the list only then. On the simulator's wire a pushed list comes by itself; on sockets the protocol page has only GET and a watch, so nobody is told who does not ask.

Change: PlatformFile reads the same settings with listOnRequest set; the simulator's route keeps the settings' word.

--- a/src/main/java/stonespring/config/Facts.java
+++ b/src/main/java/stonespring/config/Facts.java
@@ -52,6 +52,11 @@
         return new Facts(settings, List.copyOf(zones), List.copyOf(names), time(facts, "roundS", 0));
     }
 
+    /** The same where the list of tasks comes only to those who ask for it. */
+    Facts withListOnRequest() {
+        return new Facts(settings.withListOnRequest(), zones, opTypes, round);
+    }
+
     private static OpType.Repeat repeat(String word) {
         return switch (word) {
             case "free" -> OpType.Repeat.RETRYABLE;
--- a/src/main/java/stonespring/config/PlatformFile.java
+++ b/src/main/java/stonespring/config/PlatformFile.java
@@ -65,9 +65,12 @@
             throw new BadFile(file, "field 'limits.sockets' is no number above 0");
         }
         JsonNode known = all.get("known");
+        // Settings of customers whose simulator pushes the list say so, but on sockets it comes only by a watch: taken at
+        // their word, an assigner never asked, and sent ops to drained tasks for the rest of its life.
+        Facts facts = Facts.read(settings).withListOnRequest();
         return new PlatformFile(text(file, all, "name"), address(file, all, "listen"), address(file, all, "discovery"),
                 seed(file, all.path("seed")), sockets.asInt(SOCKETS_USUAL), known == null || known.isNull() ? null : known,
-                Facts.read(settings));
+                facts);
     }
 
     private static String text(Path file, JsonNode all, String field) throws BadFile {
--- a/src/main/java/stonespring/model/Settings.java
+++ b/src/main/java/stonespring/model/Settings.java
@@ -18,6 +18,13 @@
         return Math.min(1, coldShare + (1 - coldShare) * age);
     }
 
+    /** The same where the list of tasks comes only to those who ask for it. */
+    public Settings withListOnRequest() {
+        return new Settings(assigners, zones, opTypes, true, levelKind, backlogLines, messageHead, messagesMost, messagesOver,
+                linesPerSecond, emptyLimit, standingLines, proxies, sumsEvery, slices, crossZonePrice, coldTime, coldShare,
+                fallMultiple, worstTypeWeight, droppedStayOpen, shunAfter);
+    }
+
     /** How a level is meant. */
     public enum LevelKind { NONE, SHARE, RATE }
 }
--- a/src/test/java/stonespring/daemon/PlatformTest.java
+++ b/src/test/java/stonespring/daemon/PlatformTest.java
@@ -157,6 +157,16 @@
         assertTrue(rest.isEmpty() || rest.toString().endsWith("\r\n"), "no half message: " + rest);
     }
 
+    /** Whatever the settings say of the simulator's discovery: here a list that nobody watches is told to nobody. */
+    @Test void theListIsWatchedForCustomersWhoseSettingsSayThatItIsPushed() throws Exception {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, config(discovery.getLocalPort()).replace("\"on_request\"", "\"pushed\""));
+        PlatformDaemon daemon = new PlatformDaemon(stonespring.config.PlatformFile.read(file));
+        daemon.start();
+        assertEquals("/registry/instances?stream=1&index=4", watched(discovery).target);
+        daemon.stop();
+    }
+
     private void hangUp() throws Exception {
         assertEquals(0, new ProcessBuilder("kill", "-HUP", String.valueOf(process.pid())).start().waitFor());
     }
