A dial without a descriptor is told as failed: no list goes quiet for good

Asked by the issue, settled by a forced test: where no descriptor is left, Netty hands back a failed future whose channel belongs to no loop and tells it on a thread of its own. HttpWatch.end then ran off the event loop, and letGo's channel.close() threw before listener.ended: the silence timer was cancelled already, so the watch was told as failed to nobody, and as the decisions ask again only after a failure the list stayed quiet for the rest of the process. Call.end ended the same way. To blame: HttpWatch.letGo and Call.end (close of an unregistered channel), and the listener of the dial.

Change: Dialer makes connections for both; how a dial ended is told on the loop, never before the dialing call has returned (so InstancesSource.watch is set), and a connection that ended in between counts as never made. Closing an unregistered channel is no call.

The test's factory of sockets throws as Netty's does. Run without the guard on close: no FAILED within 10 s. Run with the guard but told directly: FAILED comes, from a second thread, and the test fails on that. Not caused here: real exhaustion in a process.

--- a/src/main/java/stonespring/discovery/InstancesSource.java
+++ b/src/main/java/stonespring/discovery/InstancesSource.java
@@ -13,6 +13,7 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import stonespring.http.Dialer;
 import stonespring.http.HttpClient;
 import stonespring.http.HttpMessage;
 import stonespring.http.HttpWatch;
@@ -37,6 +38,7 @@
 
     private final InstanceEntries entries;
     private final EventLoop loop;
+    private final Dialer dialer;
     private final HttpClient client;
     private InetSocketAddress address;
     private Consumer<Event.ListTold> told;
@@ -46,10 +48,15 @@
     private Watch moving;
 
     public InstancesSource(InetSocketAddress address, InstanceEntries entries, EventLoop loop) {
+        this(address, entries, new Dialer(loop));
+    }
+
+    InstancesSource(InetSocketAddress address, InstanceEntries entries, Dialer dialer) {
         this.address = address;
         this.entries = entries;
-        this.loop = loop;
-        this.client = new HttpClient(loop, CONNECT_MILLIS, LINE_MOST, 0);
+        this.loop = dialer.loop();
+        this.dialer = dialer;
+        this.client = new HttpClient(dialer, CONNECT_MILLIS, LINE_MOST, 0);
     }
 
     /** Takes a list in the platform's form, as last had before the start; a bad one is none. */
@@ -126,7 +133,7 @@
 
         Watch(InetSocketAddress to) {
             this.to = to;
-            this.call = new HttpWatch(loop, to, HttpMessage.get(to, PATH + "?stream=1&index=" + entries.version()), ANSWER_MILLIS,
+            this.call = new HttpWatch(dialer, to, HttpMessage.get(to, PATH + "?stream=1&index=" + entries.version()), ANSWER_MILLIS,
                     SILENCE_MILLIS, LINE_MOST, this);
         }
 
--- a/src/main/java/stonespring/http/HttpClient.java
+++ b/src/main/java/stonespring/http/HttpClient.java
@@ -1,16 +1,9 @@
 package stonespring.http;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -32,7 +25,7 @@
         void done(HttpMessage answer, Failure failure);
     }
 
-    private final EventLoop loop;
+    private final Dialer dialer;
     private final int connectMillis;
     private final int bodyMost;
     private final int idleMost;
@@ -40,7 +33,11 @@
     private long opened;
 
     public HttpClient(EventLoop loop, int connectMillis, int bodyMost, int idleMost) {
-        this.loop = loop;
+        this(new Dialer(loop), connectMillis, bodyMost, idleMost);
+    }
+
+    public HttpClient(Dialer dialer, int connectMillis, int bodyMost, int idleMost) {
+        this.dialer = dialer;
         this.connectMillis = connectMillis;
         this.bodyMost = bodyMost;
         this.idleMost = idleMost;
@@ -54,7 +51,7 @@
     /** Calls; must be on the client's event loop. Returns what gives the call up when run. */
     public Runnable call(InetSocketAddress to, HttpMessage request, long timeoutMillis, Outcome outcome) {
         Call call = new Call(to, request, outcome);
-        call.timer = loop.schedule(() -> call.end(null, Failure.TIMED_OUT), timeoutMillis, TimeUnit.MILLISECONDS);
+        call.timer = dialer.loop().schedule(() -> call.end(null, Failure.TIMED_OUT), timeoutMillis, TimeUnit.MILLISECONDS);
         ArrayDeque<Channel> free = idle.get(to);
         Channel channel = null;
         while (free != null && !free.isEmpty() && (channel == null || !channel.isActive())) {
@@ -68,28 +65,15 @@
         return () -> call.end(null, Failure.TIMED_OUT);
     }
 
-    /** Opens a connection with these handlers, which are its own. */
-    static ChannelFuture dial(EventLoop loop, InetSocketAddress to, int connectMillis, ChannelHandler... handlers) {
-        return new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis).option(ChannelOption.TCP_NODELAY, true)
-                .handler(new ChannelInitializer<SocketChannel>() {
-                    @Override protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(handlers);
-                    }
-                }).connect(to);
-    }
-
     private void dial(Call call) {
-        ChannelFuture dial = dial(loop, call.to, connectMillis, new HttpDecoder(false, bodyMost), new Reader());
-        call.channel = dial.channel();
-        dial.addListener(f -> {
-            if (!f.isSuccess()) {
+        call.channel = dialer.dial(call.to, connectMillis, cause -> {
+            if (cause != null) {
                 call.end(null, Failure.UNREACHED);
             } else if (!call.over) {
                 opened++;
-                call.on(dial.channel());
+                call.on(call.channel);
             }
-        });
+        }, new HttpDecoder(false, bodyMost), new Reader());
     }
 
     /** Closes the kept connections to an address that is no longer called. */
@@ -139,7 +123,7 @@
             }
             if (answer == null || answer.header("connection").equalsIgnoreCase("close")) {
                 // Its answer may still come: a connection with a call given up is never used again.
-                channel.close();
+                Dialer.close(channel);
             } else {
                 keep();
             }
--- a/src/main/java/stonespring/http/HttpWatch.java
+++ b/src/main/java/stonespring/http/HttpWatch.java
@@ -1,7 +1,6 @@
 package stonespring.http;
 
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
@@ -34,28 +33,28 @@
      * @param silenceMillis how long the peer may then say nothing
      * @param chunkMost bytes of one chunk
      */
-    public HttpWatch(EventLoop loop, InetSocketAddress to, HttpMessage request, int answerMillis, long silenceMillis,
+    public HttpWatch(Dialer dialer, InetSocketAddress to, HttpMessage request, int answerMillis, long silenceMillis,
                      int chunkMost, Listener listener) {
-        this.loop = loop;
+        this.loop = dialer.loop();
         this.listener = listener;
         this.silenceMillis = silenceMillis;
-        ChannelFuture dial = HttpClient.dial(loop, to, answerMillis, new HttpDecoder(false, chunkMost, true), new Reader());
-        channel = dial.channel();
         silence = loop.schedule(() -> end("no answer within " + answerMillis + " ms"), answerMillis, TimeUnit.MILLISECONDS);
-        dial.addListener(f -> {
-            if (!f.isSuccess()) {
-                end("it can't be reached: " + f.cause().getMessage());
-            } else if (!over) {
-                channel.writeAndFlush(request.bytes(true));
-            }
-        });
+        channel = dialer.dial(to, answerMillis, cause -> dialed(cause, request), new HttpDecoder(false, chunkMost, true), new Reader());
+    }
+
+    private void dialed(Throwable cause, HttpMessage request) {
+        if (cause != null) {
+            end("it can't be reached: " + cause.getMessage());
+        } else if (!over) {
+            channel.writeAndFlush(request.bytes(true));
+        }
     }
 
     /** Ends it without a word. */
     public void letGo() {
         over = true;
         silence.cancel(false);
-        channel.close();
+        Dialer.close(channel);
     }
 
     private void end(String cause) {
--- a/src/test/java/stonespring/discovery/InstancesSourceTest.java
+++ b/src/test/java/stonespring/discovery/InstancesSourceTest.java
@@ -5,20 +5,26 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.ChannelException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import stonespring.http.CallByHand;
+import stonespring.http.Dialer;
 import stonespring.model.Event;
 import stonespring.model.Listing;
 
@@ -206,6 +212,31 @@
         assertEquals("FAILED", words(next()));
     }
 
+    /** No descriptor is left when the watch, and when a call, is dialed: each is told as failed, and the next one works. */
+    @Test void aDialWithoutADescriptorIsToldAsFailedAndNotNeverAtAll() throws Exception {
+        AtomicInteger without = new AtomicInteger(2);
+        InstancesSource starved = new InstancesSource(at(discovery), entries, new Dialer((EventLoop) loops.next(), () -> {
+            if (without.getAndDecrement() > 0) {
+                throw new ChannelException("no descriptor left");
+            }
+            return new NioSocketChannel();
+        }));
+        Set<Thread> tellers = ConcurrentHashMap.newKeySet();
+        starved.start(event -> {
+            tellers.add(Thread.currentThread());
+            told.add(event);
+        }, list -> { });
+        starved.follow(true);
+        assertEquals("FAILED", words(next()), "the watch");
+        starved.fetch();
+        assertEquals("FAILED", words(next()), "the call");
+        starved.follow(true);
+        call(discovery).raw(HEAD).chunk(object(5, true, host("s-1", "Ready")));
+        assertEquals("WHOLE s-1/READY/1/1.5/9500", words(next()));
+        assertEquals(1, tellers.size(), "all of it is told on the event loop");
+        starved.stop();
+    }
+
     /** Tasks come and go under new ids for ever: nothing of those gone is held. */
     @Test void thousandsOfReplacedTasksLeaveNothingBehind() throws Exception {
         ObjectMapper json = new ObjectMapper();
