An overtaken list takes nothing back, and an object that never becomes whole is a failure

- A whole list asked before and answered after a newer object of the watch was read as the newest: tasks drained or listed since came back or left, and the watch never told them again.
To blame: InstanceEntries.read took any whole list's version.
- While discovery moves, the old address tells on.
The new one was asked from an older version, so its first object could be older than what is held: it was taken for a version that goes back, the new watch was cut and a whole list asked for.
To blame: the same lines, which compared with what is held and not with what that teller was asked from.
- A peer that sends one object for ever by pieces was never silent for 3.2 s, so the list stood still for good (InstancesSource.Watch.bytes).

Change: read() knows from which version its teller goes on. Older than held but no older than that is old news; older than that is another history, which also voids answers still under way. A watch's whole list always holds: what it tells next follows on it. An object must be whole within 5 s of its first byte, as its content counts as told after 6 s.

Run without the change: the three tests of overtaking fail (WHOLE s-1/READY taken back; FAILED for a good new address; the old history taken), and no failure comes in 8 s of pieces.

--- a/src/main/java/stonespring/discovery/InstanceEntries.java
+++ b/src/main/java/stonespring/discovery/InstanceEntries.java
@@ -16,7 +16,7 @@
  */
 public final class InstanceEntries {
     /** One object of the list. */
-    record Told(boolean whole, List<Listing> entries) {
+    record Told(boolean whole, List<Listing> entries, long version) {
         Event.ListTold event() {
             return new Event.ListTold(whole ? Event.ListKind.WHOLE : Event.ListKind.CHANGES, entries);
         }
@@ -29,6 +29,7 @@
     private final long unixOffset;
     private final Map<TaskId, Listing> held = new HashMap<>();
     private long version;
+    private long history;
     private long leftOut;
 
     /**
@@ -40,8 +41,22 @@
         this.unixOffset = unixOffset;
     }
 
-    /** Reads one object and holds what it says; one that can't be used changes nothing held. */
+    /** Reads one object of nobody's telling, as the configuration has it. */
     Told read(JsonNode node) throws Entries.BadList {
+        return read(node, version, true);
+    }
+
+    /**
+     * Reads one object and holds what it says; one that can't be used changes nothing held. Two who tell overtake each
+     * other: an answer under way while the watch told more, or an old address that goes on while the new one is asked.
+     * What is older than the list held, but no older than what was asked from, is old news: changes say nothing, and a
+     * whole list that was asked for once is answered by what is held. A watch's whole list always holds, since what it
+     * tells next follows on that. What is older than what was asked from is of another history.
+     *
+     * @param since the version that whoever tells this was asked from, or told last
+     * @param watch whether more follows on this
+     */
+    Told read(JsonNode node, long since, boolean watch) throws Entries.BadList {
         if (node == null || !node.isObject()) {
             throw new Entries.BadList("it is no object");
         }
@@ -57,9 +72,14 @@
         if (!hosts.isArray() || hosts.size() > Entries.ENTRIES_MOST) {
             throw new Entries.BadList("field 'hosts' is no list of at most " + Entries.ENTRIES_MOST + " entries");
         }
-        if (version.asLong() < this.version && !whole.asBoolean()) {
-            this.version = 0; // another history: only its whole list tells what was missed
-            throw new Entries.BadList("its version goes back to " + version.asLong());
+        if (version.asLong() < since) {
+            history++;
+            if (!whole.asBoolean()) {
+                this.version = 0; // only the whole list of another history tells what was missed
+                throw new Entries.BadList("its version goes back to " + version.asLong());
+            }
+        } else if (version.asLong() < this.version && !(watch && whole.asBoolean())) {
+            return new Told(whole.asBoolean(), whole.asBoolean() ? list() : List.of(), version.asLong());
         }
         this.version = version.asLong();
         Map<TaskId, Listing> before = whole.asBoolean() ? new HashMap<>(held) : held;
@@ -84,7 +104,7 @@
                 held.put(listing.task(), listing);
             }
         }
-        return new Told(whole.asBoolean(), read);
+        return new Told(whole.asBoolean(), read, this.version);
     }
 
     /** The version of what is held; 0 where only a whole list will do. */
@@ -92,6 +112,11 @@
         return version;
     }
 
+    /** Changes whenever versions start over: what was asked before can't be compared with what is held now. */
+    long history() {
+        return history;
+    }
+
     /** What is held now. */
     List<Listing> list() {
         return List.copyOf(held.values());
--- a/src/main/java/stonespring/discovery/InstancesSource.java
+++ b/src/main/java/stonespring/discovery/InstancesSource.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -31,6 +32,9 @@
     private static final int CONNECT_MILLIS = 1_000; // ms; discovery is near
     private static final int ANSWER_MILLIS = 2_500; // ms; discovery gives a call that waits up well before
     private static final long SILENCE_MILLIS = 3_200; // ms; a quiet watch says an empty line every 2 s
+    // ms; an object that comes by pieces without end is silence too. What it has to tell counts as told 6 s after it
+    // changed, whether or not it came whole: by then it must be asked for again.
+    private static final long OBJECT_MILLIS = 5_000;
     private static final int LINE_MOST = 16 << 20; // bytes of an object; far above the most tasks of a list
     private static final long MOVE_AGAIN_MILLIS = 300; // ms; the old address lasts no longer than a few of these
     private static final ObjectMapper JSON = new ObjectMapper(JsonFactory.builder().streamReadConstraints(
@@ -94,7 +98,7 @@
     private void letGo() {
         for (Watch some : new Watch[] {watch, moving}) {
             if (some != null) {
-                some.call.letGo();
+                some.letGo();
             }
         }
         watch = null;
@@ -110,7 +114,7 @@
             LOG.info("discovery moves from {} to {}", address, to);
             address = to;
             if (moving != null) {
-                moving.call.letGo();
+                moving.letGo();
                 moving = null;
             }
             if (watch != null) {
@@ -129,6 +133,8 @@
         private final InetSocketAddress to;
         private final HttpWatch call;
         private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private long seen = entries.version();
+        private Future<?> unfinished;
         private boolean over;
 
         Watch(InetSocketAddress to) {
@@ -141,8 +147,7 @@
             if (this == moving) {
                 LOG.info("discovery {} answers: the old address is let go", to);
                 if (watch != null) {
-                    watch.over = true;
-                    watch.call.letGo();
+                    watch.letGo();
                 }
                 watch = this;
                 moving = null;
@@ -158,8 +163,12 @@
                     return;
                 }
                 if (end < bytes.length) {
+                    whole();
                     object(line.toByteArray());
                     line.reset();
+                } else if (unfinished == null) {
+                    unfinished = loop.schedule(() -> broken("an object has not come whole within " + OBJECT_MILLIS + " ms"),
+                            OBJECT_MILLIS, TimeUnit.MILLISECONDS);
                 }
                 from = end + 1;
             }
@@ -170,7 +179,9 @@
                 return; // a sign of life
             }
             try {
-                told.accept(entries.read(JSON.readTree(bytes)).event());
+                InstanceEntries.Told object = entries.read(JSON.readTree(bytes), seen, true);
+                seen = object.version();
+                told.accept(object.event());
                 list.accept(entries.list());
             } catch (Entries.BadList e) {
                 broken(e.getMessage());
@@ -179,6 +190,21 @@
             }
         }
 
+        /** The object that was begun is whole, or nobody waits for it any more. */
+        private void whole() {
+            if (unfinished != null) {
+                unfinished.cancel(false);
+                unfinished = null;
+            }
+        }
+
+        /** Ends it without a word. */
+        private void letGo() {
+            over = true;
+            whole();
+            call.letGo();
+        }
+
         private void broken(String cause) {
             call.letGo();
             ended(cause);
@@ -186,6 +212,7 @@
 
         @Override public void ended(String cause) {
             over = true;
+            whole();
             if (this == moving) {
                 moving = null;
                 if (watch == null) {
@@ -207,19 +234,26 @@
     }
 
     @Override public void fetch() {
-        loop.execute(() -> client.call(address, HttpMessage.get(address, PATH), ANSWER_MILLIS, (answer, failure) -> {
+        loop.execute(() -> fetch(entries.version(), entries.history()));
+    }
+
+    private void fetch(long since, long history) {
+        client.call(address, HttpMessage.get(address, PATH), ANSWER_MILLIS, (answer, failure) -> {
             try {
+                if (history != entries.history()) {
+                    throw new Entries.BadList("its versions started over while it was asked");
+                }
                 if (answer == null || answer.status() != 200) {
                     throw new Entries.BadList(answer == null ? "the ask failed: " + failure : "it answers " + answer.status());
                 }
-                told.accept(new Event.ListTold(Event.ListKind.WHOLE, entries.read(JSON.readTree(answer.body())).entries()));
+                told.accept(new Event.ListTold(Event.ListKind.WHOLE, entries.read(JSON.readTree(answer.body()), since, false).entries()));
                 list.accept(entries.list());
             } catch (Entries.BadList e) {
                 failed(e.getMessage());
             } catch (IOException e) {
                 failed("its answer is no well-formed JSON");
             }
-        }));
+        });
     }
 
     @Override public void stop() {
--- a/src/test/java/stonespring/discovery/InstancesSourceTest.java
+++ b/src/test/java/stonespring/discovery/InstancesSourceTest.java
@@ -212,6 +212,82 @@
         assertEquals("FAILED", words(next()));
     }
 
+    private static String answer(String body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    /** Asked before, answered after: the stand-in holds the whole list back until the watch has told a newer object. */
+    @Test void aWholeListThatANewerObjectOvertookTakesNothingBack() throws Exception {
+        source.follow(true);
+        CallByHand watch = call(discovery).raw(HEAD).chunk(object(41, true, host("s-1", "Ready")));
+        next();
+        source.fetch();
+        CallByHand asked = call(discovery);
+        watch.chunk(object(43, false, host("s-1", "Terminating"), host("s-2", "Ready")));
+        next();
+        asked.raw(answer(object(42, true, host("s-1", "Ready"))));
+        Event.ListTold whole = next();
+        assertEquals(Event.ListKind.WHOLE, whole.kind());
+        assertEquals(Set.of("s-1/DRAINING", "s-2/READY"), whole.entries().stream().map(l -> l.task().name() + "/" + l.state())
+                .collect(java.util.stream.Collectors.toSet()), "what is held answers it");
+        source.fetch();
+        CallByHand newer = call(discovery);
+        newer.raw(answer(object(45, true, host("s-3", "Ready"))));
+        assertEquals("WHOLE s-3/READY/1/1.5/9500", words(next()));
+        watch.chunk(object(44, false, host("s-3", "Gone"))).chunk(object(46, false, host("s-4", "Ready")));
+        assertEquals("CHANGES", words(next()), "old news of the watch, which goes on");
+        assertEquals("CHANGES s-4/READY/1/1.5/9500", words(next()));
+        assertEquals(2, source.held().size());
+    }
+
+    @Test void aWholeListOfAnOlderHistoryIsNotMixedWithANewOne() throws Exception {
+        source.follow(true);
+        CallByHand watch = call(discovery).raw(HEAD).chunk(object(41, true, host("s-1", "Ready")));
+        next();
+        source.fetch();
+        CallByHand asked = call(discovery);
+        watch.chunk(object(3, true, host("s-2", "Ready")));
+        assertEquals("WHOLE s-2/READY/1/1.5/9500", words(next()), "discovery started over, and its whole list holds");
+        asked.raw(answer(object(42, true, host("s-1", "Ready"))));
+        assertEquals("FAILED", words(next()));
+        assertEquals("s-2", source.held().get(0).task().name());
+    }
+
+    /** The old address tells on while the new one, asked from version 5, is on its way with what it had to tell at 6. */
+    @Test void aNewAddressThatTheOldOneOvertookTakesNothingBackAndStays() throws Exception {
+        source.follow(true);
+        CallByHand old = call(discovery).raw(HEAD).chunk(object(5, true, host("s-1", "Ready")));
+        next();
+        ServerSocket other = server();
+        source.moveTo(at(other));
+        CallByHand moved = call(other);
+        old.chunk(object(6, false, host("s-1", "Ready"))).chunk(object(7, false, host("s-1", "Terminating")));
+        next();
+        next();
+        moved.raw(HEAD).chunk(object(6, false, host("s-1", "Ready")));
+        assertEquals("CHANGES", words(next()));
+        assertEquals(Listing.State.DRAINING, source.held().get(0).state());
+        moved.chunk(object(7, false, host("s-1", "Terminating"))).chunk(object(8, false, host("s-2", "Ready")));
+        assertEquals("CHANGES s-1/DRAINING/1/1.5/9500", words(next()));
+        assertEquals("CHANGES s-2/READY/1/1.5/9500", words(next()));
+    }
+
+    /** The stand-in never says a whole object, and never falls silent either. */
+    @Test void anObjectThatComesByPiecesWithoutEndIsAFailure() throws Exception {
+        source.follow(true);
+        CallByHand watch = call(discovery).raw(HEAD).chunk("\n").chunk("{\"seq\":5,");
+        Event.ListTold event = null;
+        for (int piece = 0; event == null && piece < 32; piece++) {
+            watch.chunk(" ");
+            event = told.poll(250, TimeUnit.MILLISECONDS);
+        }
+        assertNotNull(event, "while the pieces still come");
+        assertEquals("FAILED", words(event));
+        source.follow(true);
+        call(discovery).raw(HEAD).chunk(object(5, true, host("s-1", "Ready")));
+        assertEquals("WHOLE s-1/READY/1/1.5/9500", words(next()));
+    }
+
     /** No descriptor is left when the watch, and when a call, is dialed: each is told as failed, and the next one works. */
     @Test void aDialWithoutADescriptorIsToldAsFailedAndNotNeverAtAll() throws Exception {
         AtomicInteger without = new AtomicInteger(2);
