A herd is not thrown out as strangers, and a stranger that reads nothing is cut off

- A connection that has not joined counts as a stranger, and beyond the bound the oldest was ended at once.
To blame: LineListener.stranger.
Now accepting pauses at the bound, four connections at a time, goes on as soon as one has said who it is, and after 50 ms the oldest go until half the room is free.
- A refusal closed the connection once it was written.
To a peer that asks for signs of life and reads none it never was: the connection counted as over, left the count of strangers, and kept its descriptor for as long as the peer pleased.
To blame: LinePeer.end.
What can't be written at once is not waited for.

LinePeer.end uses what channelActive sets: Netty tells registration and activity of an accepted socket in one task of its loop, before any read, reset or timer of it can be looked at, so nothing comes before; the oldest stranger is never the one that comes, as the bound is 8 at least.

--- a/src/main/java/stonespring/line/LineListener.java
+++ b/src/main/java/stonespring/line/LineListener.java
@@ -6,11 +6,13 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -23,6 +25,10 @@
 public final class LineListener {
     private static final Logger LOG = LoggerFactory.getLogger(LineListener.class);
     private static final int ACCEPT_BACKLOG = 1024; // connections; a whole fleet and a crowd dial within a second
+    private static final int ACCEPTS_AT_ONCE = 4; // connections; by so many the bound of strangers may be passed
+    // ms; a peer that says at once who it is was heard by then: it comes among hundreds, and one long moment of the loop
+    // must not make those strangers whose words lie read at the socket already.
+    private static final long STRANGER_LEAST_MILLIS = 50;
     private static final int READ_BYTES = 2048; // of one read; messages have a few hundred
     private static final int LOGGED_A_SECOND = 5; // lines; the rest are counted in one
 
@@ -30,6 +36,7 @@
     private final LineEvents events;
     private final Set<LinePeer> strangers = new LinkedHashSet<>();
     private Channel channel;
+    private Future<?> crowded;
     private long secondAt;
     private int logged;
     private long unlogged;
@@ -42,6 +49,7 @@
     /** Listens; waits until it does. The loops must be of one thread. */
     public LineListener start(EventLoopGroup loops, InetSocketAddress address) throws InterruptedException {
         channel = new ServerBootstrap().group(loops).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.RCVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTS_AT_ONCE))
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(READ_BYTES))
@@ -61,19 +69,46 @@
         return limits;
     }
 
-    /** A new connection: it has some time to say who it is. */
+    /** A new connection: it has some time to say who it is. Beyond the bound no more are accepted until there is room. */
     Future<?> stranger(LinePeer peer) {
         strangers.add(peer);
         Future<?> end = peer.channel().eventLoop().schedule(() -> peer.end("not joined within " + limits.strangerMillis() + " ms"),
                 limits.strangerMillis(), TimeUnit.MILLISECONDS);
-        if (strangers.size() > limits.strangers()) {
-            strangers.iterator().next().end("too many strangers");
+        if (strangers.size() >= limits.strangers()) {
+            Channel server = peer.channel().parent();
+            server.config().setAutoRead(false);
+            if (crowded == null) {
+                crowded = later(server);
+            }
         }
         return end;
     }
 
+    private Future<?> later(Channel server) {
+        return server.eventLoop().schedule(() -> makeRoom(server), STRANGER_LEAST_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** The oldest go until half the room is free, but none that hardly had time to say who it is. */
+    private void makeRoom(Channel server) {
+        long ripe = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(STRANGER_LEAST_MILLIS);
+        for (LinePeer oldest : List.copyOf(strangers)) {
+            if (strangers.size() <= limits.strangers() / 2 || oldest.since() - ripe > 0) {
+                break;
+            }
+            oldest.end("too many strangers");
+        }
+        if (crowded != null) {
+            crowded = later(server);
+        }
+    }
+
     void known(LinePeer peer) {
         strangers.remove(peer);
+        if (crowded != null && strangers.size() < limits.strangers()) {
+            crowded.cancel(false);
+            crowded = null;
+            peer.channel().parent().config().setAutoRead(true);
+        }
     }
 
     void ended(LinePeer peer, String cause) {
--- a/src/main/java/stonespring/line/LinePeer.java
+++ b/src/main/java/stonespring/line/LinePeer.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -23,6 +24,7 @@
     private final LineListener listener;
     private final LineEvents events;
     private Channel channel;
+    private long since;
     private Future<?> strangerEnd;
     private Object keptFor;
     private boolean over;
@@ -76,8 +78,13 @@
         if (keptFor == null) {
             noStranger();
             String word = cause.replaceAll("[^A-Za-z0-9]+", "-");
-            channel.writeAndFlush(bytes(REFUSAL + " reason=" + word.substring(0, Math.min(80, word.length())) + "\r\n"))
-                    .addListener(ChannelFutureListener.CLOSE);
+            ChannelFuture refused =
+                    channel.writeAndFlush(bytes(REFUSAL + " reason=" + word.substring(0, Math.min(80, word.length())) + "\r\n"));
+            if (refused.isDone()) {
+                refused.addListener(ChannelFutureListener.CLOSE);
+            } else {
+                channel.close(); // it reads nothing: a refusal that waits for it would hold its descriptor for ever
+            }
             return;
         }
         channel.close();
@@ -86,6 +93,7 @@
 
     @Override public void channelActive(ChannelHandlerContext ctx) {
         channel = ctx.channel();
+        since = System.nanoTime();
         strangerEnd = listener.stranger(this);
     }
 
@@ -93,6 +101,11 @@
         return channel;
     }
 
+    /** When it connected, by the monotonic clock's nanoseconds. */
+    long since() {
+        return since;
+    }
+
     @Override protected void channelRead0(ChannelHandlerContext ctx, LineMessage message) {
         if (over) {
             return;
--- a/src/test/java/stonespring/front/line/LineFrontTest.java
+++ b/src/test/java/stonespring/front/line/LineFrontTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
@@ -15,6 +16,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -216,6 +218,41 @@
         assertTrue(front.here(new ProxyId(3)));
     }
 
+    /** A fleet dials a restarted assigner while it is busy: all have said who they are before it looks, and none is a stranger. */
+    @Test void aHerdThatHasSaidWhoItIsIsNotThrownOut() throws Exception {
+        CountDownLatch held = new CountDownLatch(1);
+        loop.execute(() -> {
+            try {
+                held.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        List<Client> herd = new ArrayList<>();
+        for (int id = 0; id < 10; id++) {
+            herd.add(new Client().say("SUBSCRIBE id=" + id + " site=east rps=1 new=1"));
+        }
+        held.countDown();
+        for (int id = 0; id < 10; id++) {
+            assertTrue(next() instanceof Event.ProxyJoined);
+        }
+        for (Client proxy : herd) {
+            proxy.alive();
+        }
+        assertTrue(heard.isEmpty(), "and none left");
+    }
+
+    /** It asks for signs of life and reads none: the refusal can't leave either, and its descriptor must not wait for that. */
+    @Test void aStrangerThatReadsNothingIsCutOff() throws Exception {
+        Client client = new Client();
+        byte[] asks = "PING\r\n".repeat(10_000).getBytes(StandardCharsets.US_ASCII);
+        assertThrows(IOException.class, () -> {
+            for (int i = 0; i < 2_000; i++) {
+                client.socket.getOutputStream().write(asks);
+            }
+        }, "a reset, long before 120 MB were taken");
+    }
+
     @Test void aNewerStreamReplacesTheOldWhoseEndChangesNothing() throws Exception {
         Client old = joined();
         Client newer = new Client().say("SUBSCRIBE id=3 site=east rps=2.5 new=0");
