The later configuration holds, an error restarts the decisions too, and a stop ends deciding

- Two hang-up signals close together have a thread each: the one that read the older file could apply it last, and the assigner asked a discovery that accepts nobody for good.
To blame: AssignerCommand.reload.
Now one after the other; one that comes after the end says so in a line.
The test makes the first file a pipe that it holds back.
- An Error inside the decisions (out of memory for a moment, a class that can't be loaded without a descriptor) went past the restart: the batch's events were lost, and a proxy that joined in it was served by nobody.
To blame: PlatformDaemon.moment caught RuntimeException alone.
- Between SIGTERM and the end, joinings, reports and timers still led to orders, for proxies that go elsewhere.
Deciding ends with the stop.

Run without the changes: the stopped decisions hear the second joining, the move to the newer address never comes, and after the error no table is written within 20 s.

--- a/src/main/java/stonespring/cli/AssignerCommand.java
+++ b/src/main/java/stonespring/cli/AssignerCommand.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
+import java.util.concurrent.RejectedExecutionException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import picocli.CommandLine.Command;
@@ -40,9 +41,12 @@
         return Running.untilTold("assigner", daemon::awaitEnd, daemon::stop);
     }
 
-    private void reload(PlatformDaemon daemon) {
+    /** One after the other: each signal has a thread of its own, and the older file must not be applied last. */
+    private synchronized void reload(PlatformDaemon daemon) {
         try {
             daemon.reloaded(PlatformFile.read(path));
+        } catch (RejectedExecutionException e) {
+            LOG.info("the new configuration comes after the end");
         } catch (PlatformFile.BadFile e) {
             LOG.warn("the new configuration is not used, the old one holds: {}", e.getMessage());
         }
--- a/src/main/java/stonespring/daemon/PlatformDaemon.java
+++ b/src/main/java/stonespring/daemon/PlatformDaemon.java
@@ -43,7 +43,6 @@
     private static final int REPORTS_QUIET = 30;
     private static final int REPORTS_WAIT = 200; // ms; by then they are told as they are
     private static final int REPORTS_MOST = 20_000; // events; at that many they are told at once
-    private static final int FAILURES_MOST = 10; // restarts of the decisions; more is no passing moment
     private static final long MILLI = 10; // 0.1 ms in one
     private static final long TOOK_MOST = 60 * Tenths.SECOND; // 0.1 ms; the histograms' end, longer counts as that
     private static final long STOP_MILLIS = 300; // ms; what was written is out long before
@@ -70,7 +69,9 @@
     private long lastMoment;
     private long timerAt = Long.MAX_VALUE;
     private Future<?> timer;
+    private final RestartBudget restarts = new RestartBudget();
     private int failures;
+    private boolean stopping;
 
     public PlatformDaemon(PlatformFile file) {
         this(file, Assigner::new);
@@ -176,6 +177,9 @@
 
     private void moment() {
         momentDue = false;
+        if (stopping) {
+            return; // the proxies go elsewhere from now on: what is ordered here could undo what they are told there
+        }
         long now = clock.now();
         lastMoment = now;
         List<Event> told = List.copyOf(events);
@@ -195,8 +199,8 @@
             }
         } catch (DecisionFailed e) {
             startAnew(e.getCause());
-        } catch (RuntimeException e) {
-            startAnew(e);
+        } catch (RuntimeException | Error e) {
+            startAnew(e); // an error too: the moment's events are lost, and who joined in it would be served by nobody
         }
         long next = decisions.nextTimer();
         if (next != timerAt && next != Long.MAX_VALUE) {
@@ -213,8 +217,9 @@
 
     /** One bad moment must not take the process down: all its proxies would lose their streams for it. */
     private void startAnew(Throwable cause) {
-        if (++failures > FAILURES_MOST) {
-            LOG.error("the decisions failed {} times: the assigner ends", failures, cause);
+        failures++;
+        if (!restarts.spend(clock.now())) {
+            LOG.error("the decisions failed again and again, {} times in all: the assigner ends", failures, cause);
             ended.complete(cause);
             return;
         }
@@ -246,6 +251,7 @@
 
     /** Stops: no new connections, what was written goes out, all connections end. May be called once. */
     public void stop() throws InterruptedException {
+        loop.execute(() -> stopping = true);
         listener.stop();
         source.stop();
         loop.submit(() -> LOG.info("assigner {} stops: {} proxies, {} messages dropped; moments p50 {} ms, p99 {} ms, most {} ms; from a "
--- a/src/test/java/stonespring/daemon/PlatformTest.java
+++ b/src/test/java/stonespring/daemon/PlatformTest.java
@@ -15,12 +15,16 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import stonespring.http.CallByHand;
+import stonespring.model.DecisionModule;
 import stonespring.model.Event;
 import stonespring.model.Order;
 import stonespring.model.TableId;
@@ -157,6 +161,51 @@
         assertTrue(rest.isEmpty() || rest.toString().endsWith("\r\n"), "no half message: " + rest);
     }
 
+    /**
+     * Two signals close together, each on a thread of its own: the first one's file is a pipe that the test holds back, and the
+     * second one's is newer. What the first reads must not be applied last.
+     */
+    @Test void ofTwoNewConfigurationsTheLaterHolds() throws Exception {
+        run(config(discovery.getLocalPort()));
+        dial();
+        CallByHand call = watched(discovery);
+        call.raw(CallByHand.CHUNKS).chunk(list(5, host("s-1", "west")) + "\n");
+        ServerSocket older = new ServerSocket(0, 50, java.net.InetAddress.getByName("127.0.0.1"));
+        ServerSocket newer = new ServerSocket(0, 50, java.net.InetAddress.getByName("127.0.0.1"));
+        older.setSoTimeout(WAIT);
+        newer.setSoTimeout(WAIT);
+        open.addAll(List.of(older, newer));
+        Path file = folder.resolve("config.json");
+        Path pipe = folder.resolve("pipe");
+        assertEquals(0, new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor());
+        Files.move(pipe, file, java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+        hangUp();
+        try (var first = Files.newOutputStream(file)) { // opens once the process reads
+            Path next = Files.writeString(folder.resolve("next.json"), config(newer.getLocalPort()));
+            Files.move(next, file, java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+            hangUp();
+            awaitThreads("SIGHUP handler", 2, "discovery moves from");
+            first.write(config(older.getLocalPort()).getBytes(StandardCharsets.UTF_8));
+        }
+        // What was asked first may have been answered or not; the address that is asked in the end is the newer one.
+        CallByHand last = watched(newer);
+        last.raw(CallByHand.CHUNKS).chunk(list(6, host("s-1", "west")) + "\n");
+        awaitLog("/127.0.0.1:" + newer.getLocalPort() + " answers");
+        awaitLog("discovery moves from /127.0.0.1:" + older.getLocalPort() + " to /127.0.0.1:" + newer.getLocalPort());
+    }
+
+    /** Waits until so many threads of that name stand in the process, or its log holds the text. */
+    private void awaitThreads(String name, int count, String text) throws Exception {
+        String stack = Path.of(System.getProperty("java.home"), "bin", "jstack").toString();
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT);
+        int found = 0;
+        while (found < count && !log().contains(text)) {
+            assertTrue(System.nanoTime() < until && process.isAlive(), log());
+            Process look = new ProcessBuilder(stack, String.valueOf(process.pid())).redirectErrorStream(true).start();
+            found = new String(look.getInputStream().readAllBytes(), StandardCharsets.UTF_8).split(name, -1).length - 1;
+        }
+    }
+
     /** Whatever the settings say of the simulator's discovery: here a list that nobody watches is told to nobody. */
     @Test void theListIsWatchedForCustomersWhoseSettingsSayThatItIsPushed() throws Exception {
         Path file = folder.resolve("config.json");
@@ -201,7 +250,7 @@
     }
 
     /** Fails as the first proxy joins, and is whole from then on. */
-    private static final class Fails implements stonespring.model.DecisionModule {
+    private static final class Fails implements DecisionModule {
         private final boolean whole;
         private final List<Order> orders = new ArrayList<>();
 
@@ -212,6 +261,9 @@
         @Override public void take(long now, Event event) {
             if (event instanceof Event.ProxyJoined e) {
                 if (!whole) {
+                    if (e.proxy().number() == 3) {
+                        throw new NoClassDefFoundError("as the test wants it");
+                    }
                     throw new IllegalStateException("as the test wants it");
                 }
                 assertFalse(e.fresh(), "it may hold what was ordered before");
@@ -227,7 +279,8 @@
         }
     }
 
-    @Test void aFailureInsideTheDecisionsStartsThemAnewAndNoStreamIsLost() throws Exception {
+    @ParameterizedTest @ValueSource(ints = {2, 3}) // an exception, an error
+    void aFailureInsideTheDecisionsStartsThemAnewAndNoStreamIsLost(int id) throws Exception {
         Path file = folder.resolve("config.json");
         Files.writeString(file, config(discovery.getLocalPort()));
         List<Fails> made = new ArrayList<>();
@@ -239,12 +292,62 @@
         Socket proxy = new Socket("127.0.0.1", daemon.port());
         proxy.setSoTimeout(WAIT);
         open.add(proxy);
-        say(proxy, "SUBSCRIBE id=2 site=west rps=3.0 new=1");
+        say(proxy, "SUBSCRIBE id=" + id + " site=west rps=3.0 new=1");
         assertEquals("CONFIG replace=1 rows=s-1:1 undrop=s-1", reader(proxy).readLine());
         assertEquals(2, made.size());
         daemon.stop();
     }
 
+    /** The stop comes while a moment runs, and a second proxy's joining waits at the socket: nothing is decided for it. */
+    @Test void nothingIsDecidedOnceTheStopHasBegun() throws Exception {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, config(discovery.getLocalPort()));
+        CountDownLatch began = new CountDownLatch(1);
+        CountDownLatch held = new CountDownLatch(1);
+        List<Event> joined = java.util.Collections.synchronizedList(new ArrayList<>());
+        PlatformDaemon daemon = new PlatformDaemon(stonespring.config.PlatformFile.read(file), (settings, seed, now) -> new DecisionModule() {
+            @Override public void take(long at, Event event) {
+                if (event instanceof Event.ProxyJoined) {
+                    joined.add(event);
+                    began.countDown();
+                    try {
+                        held.await();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                }
+            }
+
+            @Override public List<Order> finish(long at) {
+                return List.of();
+            }
+        });
+        daemon.start();
+        Socket first = new Socket("127.0.0.1", daemon.port());
+        Socket second = new Socket("127.0.0.1", daemon.port());
+        open.addAll(List.of(first, second));
+        second.setSoTimeout(WAIT);
+        say(second, "PING");
+        assertEquals("PONG", reader(second).readLine());
+        say(first, "SUBSCRIBE id=2 site=west rps=3.0 new=1");
+        began.await();
+        say(second, "SUBSCRIBE id=3 site=west rps=3.0 new=1");
+        Thread stops = new Thread(() -> {
+            try {
+                daemon.stop();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        stops.start();
+        while (stops.getState() != Thread.State.TIMED_WAITING && stops.getState() != Thread.State.WAITING) {
+            Thread.onSpinWait(); // it waits for the loop, behind what it has put there
+        }
+        held.countDown();
+        stops.join();
+        assertEquals(1, joined.size(), joined.toString());
+    }
+
     @Test void decisionsThatAlwaysFailEndTheProcessInTheEnd() throws Exception {
         Path file = folder.resolve("config.json");
         Files.writeString(file, config(discovery.getLocalPort()));
