A hang-up during the start waits for its end; settings that can't be used end the start; names with a slash

- The handler of SIGHUP stood only once the configuration was read (over a second after the start on a part of a core): a hang-up before ended the process.
To blame: AssignerCommand.call.
It stands first now, and one that comes before the assigner serves is carried out when it does.
- Settings with no zone, no op type, no proxy, a span of reports of 0 or a figure below 0 were taken and decided by (a turn every 0.1 ms, a division by 0).
Facts refuses them by field; an address such as 127.0.0.999 was looked up by name, and is refused.
- An op type or a task whose name holds a slash failed the decisions at the first order: StreamTable.parts split its key in three.
Names come from customers.
- Forced and found right: a stream that breaks and joins again while the decisions make orders for it.
Joinings, leaves and answers are told in the order they came in one task of the loop, the orders of that batch go out in the same task, and only reports wait longer: what an old stream's reports lead to comes after the new stream's whole table.
The test fails if orders reach the new stream as changes.

--- a/src/main/java/stonespring/cli/AssignerCommand.java
+++ b/src/main/java/stonespring/cli/AssignerCommand.java
@@ -23,26 +23,40 @@
 
     @Mixin private Logs logs;
 
+    private PlatformDaemon daemon;
+    private boolean reloadDue;
+
     @Override public Integer call() throws Exception {
+        // Without a handler of ours a hang-up ends the process; one that comes during the start waits for its end.
+        Signal.handle(new Signal("HUP"), signal -> reload());
         logs.set();
         if (path == null || path.toString().isEmpty()) {
             return Exit.fail(Exit.USAGE, "NODE_CONFIG: it is not set, and no file is named");
         }
-        PlatformFile file;
+        PlatformDaemon started;
         try {
-            file = PlatformFile.read(path);
+            started = new PlatformDaemon(PlatformFile.read(path));
         } catch (PlatformFile.BadFile e) {
             return Exit.fail(Exit.USAGE, e.getMessage());
         }
-        PlatformDaemon daemon = new PlatformDaemon(file);
-        // Without a handler of ours a hang-up ends the process; it must stand before anyone can reach us.
-        Signal.handle(new Signal("HUP"), signal -> reload(daemon));
-        daemon.start();
-        return Running.untilTold("assigner", daemon::awaitEnd, daemon::stop);
+        started.start();
+        started(started);
+        return Running.untilTold("assigner", started::awaitEnd, started::stop);
+    }
+
+    private synchronized void started(PlatformDaemon by) {
+        daemon = by;
+        if (reloadDue) {
+            reload();
+        }
     }
 
     /** One after the other: each signal has a thread of its own, and the older file must not be applied last. */
-    private synchronized void reload(PlatformDaemon daemon) {
+    private synchronized void reload() {
+        if (daemon == null) {
+            reloadDue = true;
+            return;
+        }
         try {
             daemon.reloaded(PlatformFile.read(path));
         } catch (RejectedExecutionException e) {
--- a/src/main/java/stonespring/config/Facts.java
+++ b/src/main/java/stonespring/config/Facts.java
@@ -17,6 +17,9 @@
  * @param round the shortest gap between two replies of the decisions, tenths of a millisecond
  */
 public record Facts(Settings settings, List<String> zones, List<String> opTypes, long round) {
+    private static final int OP_TYPES_MOST = 31; // an order names its op types by the bits of a number
+    private static final double NUMBER_MOST = 1e9; // in any unit of theirs; above lies a fault of whoever wrote it
+
     /** Settings that can't be used; the text names the field. */
     public static final class BadFacts extends RuntimeException {
         private static final long serialVersionUID = 1;
@@ -39,6 +42,16 @@
             names.add(text(child(node, "name"), "name"));
             types.add(new OpType(repeat(text(child(node, "repeat"), "repeat")), time(node, "goalTimeS"), number(node, "gain")));
         }
+        atLeastOne("zones", zones.size());
+        atLeastOne("categories", types.size());
+        if (types.size() > OP_TYPES_MOST) {
+            throw new BadFacts("categories", "has over " + OP_TYPES_MOST + " op types");
+        }
+        atLeastOne("balancers", number(facts, "balancers"));
+        atLeastOne("proxyCount", number(fleet, "proxyCount"));
+        atLeastOne("backlog", number(fleet, "backlog"));
+        atLeastOne("pushRate", number(fleet, "pushRate"));
+        atLeastOne("reportEveryS", time(fleet, "reportEveryS"));
         Settings settings = new Settings((int) number(facts, "balancers"), zones.size(), List.copyOf(types),
                 text(child(facts, "discovery"), "discovery").equals("on_request"),
                 levelKind(text(child(fleet, "levelKind"), "levelKind")), (int) number(fleet, "backlog"),
@@ -57,6 +70,13 @@
         return new Facts(settings.withListOnRequest(), zones, opTypes, round);
     }
 
+    /** What is divided by or waited for: at nothing an assigner would decide without end, or never. */
+    private static void atLeastOne(String field, double value) {
+        if (value < 1) {
+            throw new BadFacts(field, "has none, or too few");
+        }
+    }
+
     private static OpType.Repeat repeat(String word) {
         return switch (word) {
             case "free" -> OpType.Repeat.RETRYABLE;
@@ -102,6 +122,9 @@
         if (!value.isNumber()) {
             throw new BadFacts(field, "is not a number: " + value);
         }
+        if (!(value.asDouble() >= 0 && value.asDouble() <= NUMBER_MOST)) {
+            throw new BadFacts(field, "is not a number from 0 to " + NUMBER_MOST + ": " + value);
+        }
         return value.asDouble();
     }
 
--- a/src/main/java/stonespring/config/PlatformFile.java
+++ b/src/main/java/stonespring/config/PlatformFile.java
@@ -31,6 +31,7 @@
     }
 
     private static final long BYTES_MOST = 32L << 20; // of the file; far above the most tasks of a list
+    private static final String OCTET = "(25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])";
     private static final int SOCKETS_USUAL = 1024; // where the file gives no limit: what systems give a process
     private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -84,7 +85,7 @@
         String text = text(file, all, field);
         int colon = text.lastIndexOf(':');
         // Addresses alone: there is no name service, and a look-up would hold everything up.
-        if (colon < 1 || !text.substring(0, colon).matches("[0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9A-Fa-f:.]+]")
+        if (colon < 1 || !text.substring(0, colon).matches(OCTET + "(\\." + OCTET + "){3}|\\[[0-9A-Fa-f:.]+]")
                 || !text.substring(colon + 1).matches("[0-9]{1,5}") || Integer.parseInt(text.substring(colon + 1)) > 65535) {
             throw new BadFile(file, "field '" + field + "' is not ADDRESS:PORT: " + text);
         }
--- a/src/main/java/stonespring/front/line/StreamTable.java
+++ b/src/main/java/stonespring/front/line/StreamTable.java
@@ -62,7 +62,9 @@
         Set<String> out = new TreeSet<>();
         Set<String> in = new TreeSet<>();
         for (Map.Entry<String, String> change : message.changes().entrySet()) {
-            String[] key = change.getKey().split("/", 3);
+            // An op type's or a task's name may hold a slash itself; only lines and levels have a table before it.
+            boolean ofTable = change.getKey().startsWith("line/") || change.getKey().startsWith("level/");
+            String[] key = change.getKey().split("/", ofTable ? 3 : 2);
             String value = change.getValue();
             switch (key[0]) {
                 case "bind" -> {
--- a/src/test/java/stonespring/daemon/PlatformTest.java
+++ b/src/test/java/stonespring/daemon/PlatformTest.java
@@ -77,12 +77,16 @@
     private Process run(String text) throws IOException {
         Path file = folder.resolve("config.json");
         Files.writeString(file, text);
+        process = builder(file).start();
+        return process;
+    }
+
+    private ProcessBuilder builder(Path file) {
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx64m",
                 "-cp", System.getProperty("java.class.path"), "stonespring.Main", "assigner").redirectErrorStream(true)
                 .redirectOutput(folder.resolve("log").toFile());
         builder.environment().put("NODE_CONFIG", file.toString());
-        process = builder.start();
-        return process;
+        return builder;
     }
 
     private String log() throws IOException {
@@ -206,6 +210,24 @@
         }
     }
 
+    /** The signal comes while the file is read for the first time, from a pipe that the test holds back: it waits, and counts. */
+    @Test void aHangUpDuringTheStartWaitsForItsEnd() throws Exception {
+        ServerSocket newer = new ServerSocket(0, 50, java.net.InetAddress.getByName("127.0.0.1"));
+        newer.setSoTimeout(WAIT);
+        open.add(newer);
+        Path file = folder.resolve("config.json");
+        assertEquals(0, new ProcessBuilder("mkfifo", file.toString()).start().waitFor());
+        ProcessBuilder builder = builder(file);
+        process = builder.start();
+        try (var first = Files.newOutputStream(file)) { // opens once the process reads
+            Path next = Files.writeString(folder.resolve("next.json"), config(newer.getLocalPort()));
+            Files.move(next, file, java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+            hangUp();
+            first.write(config(discovery.getLocalPort()).getBytes(StandardCharsets.UTF_8));
+        }
+        assertEquals("/registry/instances?stream=1&index=4", watched(newer).target);
+    }
+
     /** Whatever the settings say of the simulator's discovery: here a list that nobody watches is told to nobody. */
     @Test void theListIsWatchedForCustomersWhoseSettingsSayThatItIsPushed() throws Exception {
         Path file = folder.resolve("config.json");
@@ -232,6 +254,9 @@
         String good = config(1);
         String[][] rows = {{"{", "line 1"}, {"[]", "no JSON object"}, {good.replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"here\""), "field 'listen'"},
             {good.replace("\"backlog\":3000", "\"backlog\":\"x\""), "field 'settings': field 'backlog' is not a number"},
+            {good.replace("\"proxyCount\":8", "\"proxyCount\":0"), "field 'proxyCount' has none"}, {good.replace("\"roundS\":0.001", "\"roundS\":-1"), "field 'roundS' is not"},
+            {good.replace("\"reportEveryS\":0.5", "\"reportEveryS\":0"), "field 'reportEveryS'"}, {good.replace("[\"west\",\"east\"]", "[]"), "field 'zones' has none"},
+            {good.replace("\"pushRate\":1500.0", "\"pushRate\":1e300"), "field 'pushRate' is not"}, {good.replace("\"127.0.0.1:1\"", "\"127.0.0.999:1\""), "field 'discovery'"},
             {good.replace("\"seed\":\"8c1f30d27a5be964\"", "\"seed\":\"?\""), "field 'seed'"}, {good.replace("\"sockets\":256", "\"sockets\":0"), "limits.sockets"}};
         for (String[] row : rows) {
             Path file = folder.resolve("bad.json");
@@ -298,6 +323,57 @@
         daemon.stop();
     }
 
+    /**
+     * A stream breaks and its proxy joins again while the decisions make an order for the old one: the change must not reach the new
+     * stream, which never held that table, and what reaches it first is the table whole.
+     */
+    @Test void ordersForABrokenStreamDontGoOutOnTheNewOne() throws Exception {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, config(discovery.getLocalPort()));
+        CountDownLatch began = new CountDownLatch(1);
+        CountDownLatch held = new CountDownLatch(1);
+        PlatformDaemon daemon = new PlatformDaemon(stonespring.config.PlatformFile.read(file), (settings, seed, now) -> new DecisionModule() {
+            private final List<Order> orders = new ArrayList<>();
+
+            @Override public void take(long at, Event event) {
+                if (event instanceof Event.ProxyJoined e) {
+                    orders.add(new Order.SetLine(new TableId(1), new TaskId("s-1"), 1));
+                    orders.add(new Order.Bind(new TableId(1), e.proxy(), 0));
+                } else if (event instanceof Event.ProxyOps) {
+                    began.countDown();
+                    try {
+                        held.await();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                    orders.add(new Order.SetLine(new TableId(1), new TaskId("s-2"), 0.5));
+                }
+            }
+
+            @Override public List<Order> finish(long at) {
+                List<Order> ordered = List.copyOf(orders);
+                orders.clear();
+                return ordered;
+            }
+        });
+        daemon.start();
+        Socket old = new Socket("127.0.0.1", daemon.port());
+        old.setSoTimeout(WAIT);
+        open.add(old);
+        say(old, "SUBSCRIBE id=2 site=west rps=3.0 new=1");
+        assertEquals("CONFIG replace=1 rows=s-1:1", reader(old).readLine());
+        say(old, "RATE id=2 lane=look count=1 fail=0 over=500");
+        began.await();
+        old.close();
+        Socket newer = new Socket("127.0.0.1", daemon.port());
+        newer.setSoTimeout(WAIT);
+        open.add(newer);
+        say(newer, "SUBSCRIBE id=2 site=west rps=3.0 new=0");
+        held.countDown();
+        assertEquals("CONFIG replace=1 rows=s-1:1,s-2:0.5 undrop=s-1,s-2", reader(newer).readLine());
+        daemon.stop();
+    }
+
     /** The stop comes while a moment runs, and a second proxy's joining waits at the socket: nothing is decided for it. */
     @Test void nothingIsDecidedOnceTheStopHasBegun() throws Exception {
         Path file = folder.resolve("config.json");
--- a/src/test/java/stonespring/front/line/LineFrontTest.java
+++ b/src/test/java/stonespring/front/line/LineFrontTest.java
@@ -35,6 +35,7 @@
 import stonespring.model.TableId;
 import stonespring.model.TaskId;
 import stonespring.model.ZoneId;
+import stonespring.state.Tables;
 
 /** Each kind of peer on loopback: what it gets, and what the decisions hear of it. */
 final class LineFrontTest {
@@ -303,6 +304,19 @@
         assertEquals("CONFIG replace=1 rows=s-2:0.5 undrop=s-2", proxy.hear());
     }
 
+    @Test void namesOfCustomersMayHoldASlash() {
+        List<String> opTypes = List.of("look/up", "buy");
+        Tables tables = new Tables(opTypes);
+        tables.joined(new ProxyId(3), null);
+        StreamTable table = new StreamTable(opTypes, tables, new java.util.TreeSet<>(), false);
+        Order.Admit level = new Order.Admit(new TableId(3), 1, Order.Retry.NEVER, 0.5);
+        List<String> said = new ArrayList<>();
+        for (List<Order> orders : List.of(List.<Order>of(line(3, "s/1", 1), bind(3), level), List.<Order>of(new Order.Withdraw(new TaskId("s/1"), true)))) {
+            said.addAll(table.parts(tables.messages(orders, 5).get(0)));
+        }
+        assertEquals(List.of("CONFIG replace=1 rows=s/1:1 part=1", "CONFIG for=look/up gate=0.5 again=0", "CONFIG drop=s/1"), said);
+    }
+
     /** Tasks under new ids for ever: of those gone the latest are known, and what was withdrawn ends with its task. */
     @Test void tasksLongGoneAreForgotten() throws Exception {
         Client proxy = joined();
