A process that ran out of descriptors comes back, caused at a process of 96

The dial without a descriptor, mended before with a factory that throws, is now caused at a process that may have 96 descriptors: a crowd of 160 takes them, the watch ends, its next dial finds none ("Too many open files" in the log), and the list is watched again once the crowd is gone; a new stream and the old one answer. Netty pauses accepting for a second when it fails, and goes on: nothing to mend there.

--- a/src/test/java/stonespring/daemon/PlatformTest.java
+++ b/src/test/java/stonespring/daemon/PlatformTest.java
@@ -228,6 +228,39 @@
         assertEquals("/registry/instances?stream=1&index=4", watched(newer).target);
     }
 
+    /**
+     * A crowd takes every descriptor that the process may have, and the watch ends meanwhile: its next dial finds none. Once the
+     * crowd is gone the list is watched and proxies are served as before.
+     */
+    @Test void aProcessThatRanOutOfDescriptorsComesBack() throws Exception {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, config(discovery.getLocalPort()));
+        ProcessBuilder builder = builder(file);
+        List<String> command = new ArrayList<>(List.of("sh", "-c", "ulimit -n 96; exec \"$@\"", "sh"));
+        command.addAll(builder.command());
+        process = builder.command(command).start();
+        Socket early = dial();
+        say(early, "SUBSCRIBE id=1 site=west rps=3.0 new=1");
+        watched(discovery).raw(CallByHand.CHUNKS).chunk(list(5, host("s-1", "west")) + "\n").close();
+        for (int i = 0; i < 160; i++) {
+            Socket idle = new Socket();
+            open.add(idle);
+            idle.connect(new java.net.InetSocketAddress("127.0.0.1", early.getPort()), WAIT);
+        }
+        awaitLog("Too many open files");
+        assertEquals("/registry/instances?stream=1&index=5", watched(discovery).target, "the list is watched again");
+        Socket late = dial();
+        say(late, "PING");
+        assertEquals("PONG", reader(late).readLine());
+        say(early, "PING");
+        BufferedReader hears = reader(early);
+        String pong = hears.readLine();
+        while (pong != null && pong.startsWith("CONFIG")) {
+            pong = hears.readLine();
+        }
+        assertEquals("PONG", pong, "who was joined stayed");
+    }
+
     /** Whatever the settings say of the simulator's discovery: here a list that nobody watches is told to nobody. */
     @Test void theListIsWatchedForCustomersWhoseSettingsSayThatItIsPushed() throws Exception {
         Path file = folder.resolve("config.json");
