A discovery that moved is found without the signal: where the list fails, the configuration is read again

To blame here: whoever lost the signal, an assigner whose discovery refuses it asked the same address for good (InstancesSource.moveTo was its only way to another). Change: where the list fails, the file is read again, beside the event loop, one look at a time; another address is then asked as after a hang-up. The test replaces the file, sends no signal and ends the old address: run without the change, the new one is not asked within 20 s.

--- a/src/main/java/stonespring/cli/AssignerCommand.java
+++ b/src/main/java/stonespring/cli/AssignerCommand.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import picocli.CommandLine.Command;
@@ -23,6 +24,7 @@
 
     @Mixin private Logs logs;
 
+    private final AtomicBoolean looking = new AtomicBoolean();
     private PlatformDaemon daemon;
     private boolean reloadDue;
 
@@ -49,6 +51,21 @@
         if (reloadDue) {
             reload();
         }
+        // A hang-up can be lost, or come before its file: an assigner that then asked the old address of discovery for
+        // good would never hear of a drain again. Where that address fails, the file may name another one.
+        daemon.whenListFails(() -> {
+            if (looking.compareAndSet(false, true)) {
+                new Thread(this::look, "configuration").start();
+            }
+        });
+    }
+
+    private void look() {
+        try {
+            reload();
+        } finally {
+            looking.set(false);
+        }
     }
 
     /** One after the other: each signal has a thread of its own, and the older file must not be applied last. */
--- a/src/main/java/stonespring/daemon/PlatformDaemon.java
+++ b/src/main/java/stonespring/daemon/PlatformDaemon.java
@@ -65,6 +65,7 @@
     private long reportsTold = -1;
     private long reportsLast;
     private Decisions decisions;
+    private Runnable whenListFails = () -> { };
     private boolean momentDue;
     private long lastMoment;
     private long timerAt = Long.MAX_VALUE;
@@ -115,6 +116,11 @@
                 file.listen().getHostString(), listener.port(), source.held().size(), file.facts().settings().proxies(), listener.limits().strangers());
     }
 
+    /** What else is to be done whenever discovery fails; runs on the event loop, and must not hold it up. */
+    public void whenListFails(Runnable then) {
+        loop.execute(() -> whenListFails = then);
+    }
+
     private DecisionModule module(long seed) {
         return maker.make(file.facts().settings(), seed, clock.now());
     }
@@ -125,6 +131,9 @@
             LOG.info("list {}: {} entries", told.kind(), told.entries().size());
         }
         heard(told);
+        if (told.kind() == Event.ListKind.FAILED) {
+            whenListFails.run();
+        }
     }
 
     private void heard(Event event) {
--- a/src/test/java/stonespring/daemon/PlatformTest.java
+++ b/src/test/java/stonespring/daemon/PlatformTest.java
@@ -261,6 +261,21 @@
         assertEquals("PONG", pong, "who was joined stayed");
     }
 
+    /** The file was replaced and the signal never came, or came too early; the old address then ends the watch and takes nobody. */
+    @Test void aMovedDiscoveryIsFoundWithoutTheSignal() throws Exception {
+        run(config(discovery.getLocalPort()));
+        dial();
+        CallByHand call = watched(discovery);
+        call.raw(CallByHand.CHUNKS).chunk(list(5, host("s-1", "west")) + "\n");
+        ServerSocket moved = new ServerSocket(0, 50, java.net.InetAddress.getByName("127.0.0.1"));
+        moved.setSoTimeout(WAIT);
+        open.add(moved);
+        Files.writeString(folder.resolve("config.json"), config(moved.getLocalPort()));
+        discovery.close();
+        call.close();
+        assertEquals("/registry/instances?stream=1&index=5", watched(moved).target);
+    }
+
     /** Whatever the settings say of the simulator's discovery: here a list that nobody watches is told to nobody. */
     @Test void theListIsWatchedForCustomersWhoseSettingsSayThatItIsPushed() throws Exception {
         Path file = folder.resolve("config.json");
