A herd's warnings keep the backlog, and what was lost with its streams no longer silences an assigner

From 18.6 s on four of five assigners are dead and 872 proxies come to n4; 476 get first tables up to 0.35 of the backlog.

Ruled out: a late list (n4's watch told changes throughout), time of the loop (longest moment under 0.2 s), messages to one proxy (no limit there).

To blame: Channel.withdraw and Channel.bind (counts), Planner.plan (warnings without room), Channel.queued (sent - passed, whoever had left).

Change: settings say whether holdings are unknown (sockets); then each withdrawal counts at each unknown table, and lines that let tasks back count. Warnings go out only within 0.6 of the backlog; where they have no room, first tables go out up to there instead. What waited for a proxy that leaves is taken off.

--- a/src/main/java/stonespring/config/Facts.java
+++ b/src/main/java/stonespring/config/Facts.java
@@ -65,9 +65,9 @@
         return new Facts(settings, List.copyOf(zones), List.copyOf(names), time(facts, "roundS", 0));
     }
 
-    /** The same where the list of tasks comes only to those who ask for it. */
-    Facts withListOnRequest() {
-        return new Facts(settings.withListOnRequest(), zones, opTypes, round);
+    /** The same on the platform's sockets. */
+    Facts onSockets() {
+        return new Facts(settings.onSockets(), zones, opTypes, round);
     }
 
     /** What is divided by or waited for: at nothing an assigner would decide without end, or never. */
--- a/src/main/java/stonespring/config/PlatformFile.java
+++ b/src/main/java/stonespring/config/PlatformFile.java
@@ -68,7 +68,7 @@
         JsonNode known = all.get("known");
         // Settings of customers whose simulator pushes the list say so, but on sockets it comes only by a watch: taken at
         // their word, an assigner never asked, and sent ops to drained tasks for the rest of its life.
-        Facts facts = Facts.read(settings).withListOnRequest();
+        Facts facts = Facts.read(settings).onSockets();
         return new PlatformFile(text(file, all, "name"), address(file, all, "listen"), address(file, all, "discovery"),
                 seed(file, all.path("seed")), sockets.asInt(SOCKETS_USUAL), known == null || known.isNull() ? null : known,
                 facts);
--- a/src/main/java/stonespring/decision/Assigner.java
+++ b/src/main/java/stonespring/decision/Assigner.java
@@ -7,12 +7,10 @@
 import java.util.zip.CRC32;
 import stonespring.model.*;
 
-/**
- * All decisions of one assigner. A host makes one instance with the settings and a seed, gives it every event
- * of a moment through {@code take} and carries out, in order, what {@code finish} returns. The interface is
- * {@code stonespring.model.DecisionModule}; the types of events, orders and settings stand beside it.
- * An instance keeps no clock, thread or file, so that a simulator and a daemon can drive it alike.
- */
+/** All decisions of one assigner. A host makes an instance with settings and a seed, gives it every event of
+ * a moment through {@code take} and carries out, in order, what {@code finish} returns. The interface is
+ * {@code stonespring.model.DecisionModule}; the types of events, orders and settings stand beside it. An
+ * instance keeps no clock, thread or file, so that a simulator and a daemon can drive it alike. */
 public final class Assigner implements DecisionModule {
     // ---- Constants: each with its unit and the reason for its size.
 
@@ -88,6 +86,7 @@
     private static final double CHANNEL_SLOW = 5; // times; the slowest channel known, and some
     private static final double ROUTINE_LINES = 0.3; // share of the backlog; the rest is for drains
     private static final double FIRST_LINES = 0.35; // share of the backlog; first tables and levels can wait
+    private static final double CROWD_LINES = 0.6; // share of the backlog; warnings, or first tables instead
     private static final double URGENT_LINES = 0.85; // share of the backlog; the rest is the count's error
     private static final double ROUTINE_MESSAGES = 0.33; // share of a proxy's messages; for levels twice
     private static final long BUNCH_WAIT = 6_000; // 0.1 ms; well under any grace, over half the even gap
@@ -127,9 +126,8 @@
     private final Settings set;
     private final long seed;
     private final double target;
-    private long draws;
+    private long draws, now;
     private boolean look; // something came that is not looked at in turns alone
-    private long now;
     private final Roster roster = new Roster();
     private final Planner planner = new Planner();
     private final Channel channel = new Channel();
@@ -226,9 +224,7 @@
         busy = Arrays.copyOf(busy, size);
         told = Arrays.copyOf(told, size);
         latency = Arrays.copyOf(latency, size);
-        for (double[][] all : List.of(bad, tries, zoneRate)) {
-            Arrays.setAll(all, z -> Arrays.copyOf(all[z], size));
-        }
+        for (double[][] a : List.of(bad, tries, zoneRate)) Arrays.setAll(a, z -> Arrays.copyOf(a[z], size));
         Arrays.setAll(lastLine, z -> Arrays.copyOf(lastLine[z], size));
     }
 
@@ -362,7 +358,7 @@
         private final double[] latest = new double[set.opTypes().size()];
         private final double[] opsALine = new double[set.opTypes().size()];
         private final List<Line> table = new ArrayList<>();
-        private double potential;
+        private double potential, waiting, sentTo;
         private int waited;
         private boolean open;
         private final TreeMap<Integer, Integer> swap = new TreeMap<>();
@@ -433,6 +429,7 @@
             } else if (event instanceof Event.ProxyLeft) {
                 joined = bound = false;
                 leftAt = now;
+                channel.left(this);
                 for (Freed f : planner.moving) f.answered |= f.proxy == this;
             } else if (event instanceof Event.ProxyOps e) {
                 int k = e.opType().index();
@@ -448,11 +445,9 @@
             }
         }
 
-        /**
-         * A line tells of a period with ops, and its rate holds until the next: in the mean too high by
-         * -log(share) / (1 - share), of periods with any. Small proxies seemed to bring half as many again.
-         * Half is taken off, its root: in a jam what comes soon is above the mean; the whole let jams form.
-         */
+        /** A line tells of a period with ops, and its rate holds until the next: in the mean too high by
+         * -log(share) / (1 - share), of periods with any. Small proxies seemed to bring half more. Half is
+         * taken off, its root: in a jam what comes soon is above the mean; the whole let jams form. */
         private double held(double opsALine) {
             double mean = opsALine; // of a period, by what those with any have: a line has mean / share
             for (int i = 0; i < 20; i++) mean = opsALine * (1 - Math.exp(-mean));
@@ -488,7 +483,7 @@
         private final List<Integer> entrants = new ArrayList<>();
         private final Set<Proxy> urgent = new LinkedHashSet<>();
         private final List<Freed> moving = new ArrayList<>();
-        private boolean sumsCame, sumsShow, unwarned;
+        private boolean sumsCame, sumsShow, unwarned, crowded;
         private long lastTurn = NEVER, lastCut = NEVER, lastWarning = NEVER, wakeAt = NEVER, lateBy;
         private int turns, unitReadings;
         private double[] capacity = new double[0], planned = new double[0];
@@ -519,10 +514,11 @@
             }
             boolean anyOut = IntStream.range(0, tasks).anyMatch(i -> !live(i));
             boolean held = false;
+            crowded = anyOut && !channel.roomForWarnings();
             for (Proxy p : proxies.values()) {
                 // Tables from before a start are left alone until sums came, but what left may be all of one,
                 // or on its way out as the instance died: no list tells of it any more, and sums seldom do.
-                boolean late = anyOut && now - p.joinedAt > set.emptyLimit() / 2
+                boolean late = crowded || anyOut && now - p.joinedAt > set.emptyLimit() / 2
                         || turns > 0 && now - p.joinedAt > OLD_TABLES;
                 boolean due = p.joined && !set.slices()
                         && (p.bound ? p.broken() : p.fresh || turns >= SETTLE_TURNS || late);
@@ -533,7 +529,7 @@
             }
             // Unknown tables may name what left, and withdrawals don't reach later joiners: all are told
             // again in bunches, since each joiner by itself once used up the messages of all proxies.
-            unwarned &= anyOut;
+            unwarned &= anyOut && !crowded;
             if (unwarned && now - lastWarning >= BUNCH_WAIT) {
                 for (int i = 0; i < tasks; i++) if (!live(i)) channel.withdraw(i, true);
                 unwarned = false;
@@ -644,20 +640,17 @@
             meanFill = sum(this::total) / allCapacity;
         }
 
-        /**
-         * A cold task falls over when too much is tried there, and a proxy that shuns its failing lines sends
-         * their part to the others: named only where that stays small for all together, small ones first. So
-         * also where it could come to shun before sums tell: holds against any surge, repeats or lost zone
-         * that they show late; hurts where large proxies need what warms, as entrants wait for small ones.
-         */
+        /** A cold task falls over when too much is tried there, and a proxy that shuns its failing lines
+         * sends their part to the others: named only where that stays small for all, small ones first. Also
+         * where it could come to shun before sums tell: holds against any surge, repeats or lost zone that
+         * they show late; hurts where large proxies need what warms: entrants wait for small ones. */
         private void capCold(List<Proxy> known) {
             List<Proxy> smallFirst = new ArrayList<>(known);
             // Who names one already comes first: lines once went to and fro between proxies at each turn.
             smallFirst.sort(Comparator.<Proxy, Boolean>comparing(p -> p.table.stream()
                     .noneMatch(l -> l.has > 0 && warmth(l.task) < 1)).thenComparingDouble(p -> p.ops));
-            double[] room = new double[tasks];
+            double[] room = new double[tasks], worstRoom = new double[tasks];
             double letIn = set.levelKind() == Settings.LevelKind.SHARE ? level : 1;
-            double[] worstRoom = new double[tasks];
             double most = set.fallMultiple() * part;
             double mean = proxies.values().stream().mapToDouble(p -> p.joined ? p.ops : 0).sum();
             double worst = came > SURGE * mean ? COLD_SURGE : COLD_WORST;
@@ -685,20 +678,16 @@
             }
         }
 
-        /**
-         * Ops that a proxy may bring to a line: by the table aimed at, and by the one that it holds. The two
+        /** Ops that a proxy may bring to a line: by the table aimed at, and by the one that it holds. The two
          * part when what left goes at once while new lines wait for room: once the four other lines that
-         * stood were all shunned, and all ops went to a cold one of 1%.
-         */
+         * stood were all shunned, and all ops went to a cold one of 1%. */
         private double brings(Proxy p, Line l, double letIn, boolean worst) {
             double byGoal = l.goal / open(p, l, o -> o.goal, letIn, worst);
             return letIn * p.ops * Math.max(byGoal, l.has / open(p, l, o -> o.has, letIn, worst));
         }
 
-        /**
-         * Weight that a proxy may come to spread its ops over, a line's own counted whole. At worst each has
-         * an equal share of the tries: what large ones that are shunned had goes to the small ones.
-         */
+        /** Weight that a proxy may come to spread its ops over, a line's own counted whole. At worst each has
+         * an equal share of the tries: what large ones that are shunned had goes to the small ones. */
         private double open(Proxy p, Line l, ToDoubleFunction<Line> weight, double letIn, boolean worst) {
             double all = 0;
             for (Line o : p.table) {
@@ -713,10 +702,8 @@
             return Math.max(1e-9, open);
         }
 
-        /**
-         * Share of the time in which a proxy may keep away from a line, after a row of its own bad tries: as
-         * sums tell of them, or at worst, before they tell, by the tries until a row (Feller, XIII.7).
-         */
+        /** Share of the time in which a proxy may keep away from a line, after a row of its own bad tries: as
+         * sums tell of them, or at worst, before they tell, by the tries until a row (Feller, XIII.7). */
         private double shunned(Proxy p, Line l, double share, boolean worst) {
             if (set.shunAfter() == 0 || !worst && warmth(l.task) < 1) return 0;
             double bad = badShare(p.zoneIndex, l.task);
@@ -726,10 +713,8 @@
             return Math.min(1, p.ops * share * rows);
         }
 
-        /**
-         * What the tasks listed can't carry is rejected at once, also when the list says so before sums do. A
-         * jam's work is in vain, it tells nothing of capacity: trust is cut until it clears, whatever it is.
-         */
+        /** What the tasks listed can't carry is rejected at once, also when the list says so before sums do.
+         * A jam's work is in vain, it tells nothing of capacity: trust is cut until it clears. */
         private void levels(boolean turn) {
             if (came <= 0) return;
             // Who fails more than the rest counts less: the silent carry nothing.
@@ -763,10 +748,8 @@
             }
         }
 
-        /**
-         * What is let in, by op type: most benefit for its work first. Work is told nowhere and goes by the
-         * target latency. None falls under a part of the level, larger the more the worst-served type weighs.
-         */
+        /** What is let in, by op type: most benefit for its work first. Work is told nowhere and goes by the
+         * target latency. None falls under a part of the level, larger as the worst type weighs more. */
         private double[] levelsByType() {
             List<OpType> type = set.opTypes();
             double[] ops = new double[type.size()];
@@ -994,8 +977,7 @@
 
         /** A full task keeps its line as it is, and the others give no more than what the rest can take. */
         private void aimAtRoom(Proxy p, double[] room) {
-            double up = 0;
-            double down = 0;
+            double up = 0, down = 0;
             for (Line l : p.table) {
                 if (l.goal > l.has && room[l.task] <= 0) l.goal = l.has;
                 up += Math.max(0, l.goal - l.has);
@@ -1008,9 +990,7 @@
 
         private double[] headroom() {
             double[] room = new double[tasks];
-            for (int i = 0; i < tasks; i++) {
-                if (live(i)) room[i] = (capacity[i] * meanFill / FILL - total(i)) * part;
-            }
+            Arrays.setAll(room, i -> live(i) ? (capacity[i] * meanFill / FILL - total(i)) * part : 0);
             for (Proxy p : proxies.values()) {
                 for (Line l : p.table) if (p.bound && rate[l.task] <= 0) room[l.task] -= p.ops * l.has * part;
             }
@@ -1102,10 +1082,12 @@
             out[i] = leaves;
             first.add(new Order.Withdraw(task[i].id, leaves));
             proxies.values().stream().filter(p -> p.joined && (p.bound ? p.names(i)
-                    : touched.getOrDefault(p.id.number(), 0) < set.standingLines()))
+                    : touched.getOrDefault(p.id.number(), 0) < mostNamed()))
                     .forEach(p -> touch(p, 1));
         }
 
+        private int mostNamed() { return set.holdingsUnknown() ? tasks : set.standingLines(); }
+
         void line(Proxy p, int i, double weight) {
             lines.add(new Order.SetLine(new TableId(p.id.number()), task[i].id, weight));
             if (p.bound) touch(p, 1);
@@ -1113,7 +1095,8 @@
 
         void bind(Proxy p) {
             binds.add(new Order.Bind(new TableId(p.id.number()), p.id, 0));
-            touch(p, 3 + (int) p.table.stream().filter(l -> l.has > 0).count());
+            int some = (int) p.table.stream().filter(l -> l.has > 0).count();
+            touch(p, 3 + (set.holdingsUnknown() && !p.fresh ? 2 * some : some));
         }
 
         /** Answers tell how far the channel is, whatever its pace; without them it counts as slow. */
@@ -1123,9 +1106,16 @@
             lastAnswer = now;
             double next = Math.max(passed, r.start) + r.lines / r.messages;
             passed = Math.max(passed, Math.min(next, r.start + r.lines));
+            if (r.start + r.lines >= p.sentTo) p.waiting = 0;
             for (Freed f : planner.moving) f.answered |= f.proxy == p && f.start <= r.start;
         }
 
+        /** What waits for one that leaves is lost and never answered: a herd that left once silenced us. */
+        void left(Proxy p) {
+            if (p.sentTo > passed) passed = Math.min(sent, passed + p.waiting);
+            p.waiting = 0;
+        }
+
         private double queued() {
             double slowest = Math.max(0, emptyAt - now) * set.linesPerSecond() / CHANNEL_SLOW / Tenths.SECOND;
             return pending + Math.min(now - lastAnswer < SHOWS_AFTER ? sent : slowest, sent - passed);
@@ -1136,9 +1126,17 @@
             return p.messages.size();
         }
 
+        /** Whether all unknown tables can be told what left; where not, first tables tell it for less. */
+        boolean roomForWarnings() {
+            long out = IntStream.range(0, tasks).filter(i -> !live(i)).limit(mostNamed()).count();
+            long unknown = proxies.values().stream().filter(p -> p.joined && !p.bound).count();
+            return queued() + unknown * (1 + set.messageHead() + out) <= CROWD_LINES * set.backlogLines();
+        }
+
         /** What can't wait goes at once, but bunched once a proxy had many messages; new tables can wait. */
         boolean roomForUrgent(Proxy p) {
-            if (queued() > (p.bound ? URGENT_LINES : FIRST_LINES) * set.backlogLines()) return false;
+            double most = p.bound ? URGENT_LINES : planner.crowded ? CROWD_LINES : FIRST_LINES;
+            if (queued() > most * set.backlogLines()) return false;
             if (set.messagesMost() == 0 || recent(p) < ROUTINE_MESSAGES * set.messagesMost()) return true;
             return recent(p) < set.messagesMost() - SPARE_MESSAGES
                     && now - p.messages.peekLast() >= BUNCH_WAIT;
@@ -1185,7 +1183,12 @@
                 sent += pending;
                 emptyAt = Math.max(emptyAt, now)
                         + (long) (pending * Tenths.SECOND * CHANNEL_SLOW / set.linesPerSecond());
-                for (int number : touched.keySet()) proxies.get(number).messages.add(now);
+                for (int id : touched.keySet()) {
+                    Proxy p = proxies.get(id);
+                    p.messages.add(now);
+                    p.waiting = (p.sentTo > passed ? p.waiting : 0) + 1 + set.messageHead() + touched.get(id);
+                    p.sentTo = sent;
+                }
             }
             pending = 0;
             touched.clear();
