Names of the platform's route by the field's terms: cancel, close, restart, factory, unjoined, batch

What was let go is cancelled (a watch) or closed (an address, a connection); the decisions restart; what creates them is a factory; strangers are connections that have not joined; a moment of the daemon is a batch. No behaviour changes.

--- a/src/main/java/stonespring/daemon/PlatformDaemon.java
+++ b/src/main/java/stonespring/daemon/PlatformDaemon.java
@@ -28,16 +28,16 @@
 /**
  * An assigner on the operators' platform: one thread for its sockets and its decisions, since it has a part of one core.
  * What is read together is told together and finished once, no oftener than the settings' round. When the decisions fail
- * they start anew with the list held and the proxies that are joined, a bounded number of times.
+ * they restart with the list held and the proxies that are joined, a bounded number of times.
  */
 public final class PlatformDaemon {
     private static final Logger LOG = LoggerFactory.getLogger(PlatformDaemon.class);
     private static final int LINE_BYTES = 16 << 10; // of a message that comes in; the longest has a few hundred
     private static final int PENDING_BYTES = 64 << 10; // for one peer; over a hundred messages
-    private static final int STRANGER_MILLIS = 1_500; // ms; half of what a bad client is owed an end in
+    private static final int UNJOINED_MILLIS = 1_500; // ms; half of what a bad client is owed an end in
     private static final int FILES = 56; // descriptors of the process itself, the listener and discovery's calls
-    private static final int STRANGERS_LEAST = 8; // descriptors; some must get in to say who they are
-    private static final int STRANGERS_MOST = 256; // descriptors; more only cost memory
+    private static final int UNJOINED_LEAST = 8; // descriptors; some must get in to say who they are
+    private static final int UNJOINED_MOST = 256; // descriptors; more only cost memory
     // ms; a period's reports come by every stream and collector, in pieces: half of them told made the other half seem
     // periods without an op. They are old already, and nothing else waits for them.
     private static final int REPORTS_QUIET = 30;
@@ -48,7 +48,7 @@
     private static final long STOP_MILLIS = 300; // ms; what was written is out long before
 
     private final PlatformFile file;
-    private final Maker maker;
+    private final Factory factory;
     private final InstanceClock clock = new InstanceClock();
     private final MultiThreadIoEventLoopGroup sockets = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) sockets.next();
@@ -59,15 +59,15 @@
     private final List<Event> events = new ArrayList<>();
     private final List<Event> reports = new ArrayList<>();
     private final ListAsks asks;
-    private final Histogram moments = new Histogram(TOOK_MOST, 2);
+    private final Histogram batches = new Histogram(TOOK_MOST, 2);
     private final Histogram answered = new Histogram(TOOK_MOST, 2);
     private long reportsFrom;
     private long reportsTold = -1;
     private long reportsLast;
     private Decisions decisions;
     private Runnable whenListFails = () -> { };
-    private boolean momentDue;
-    private long lastMoment;
+    private boolean batchDue;
+    private long lastBatch;
     private long timerAt = Long.MAX_VALUE;
     private Future<?> timer;
     private final RestartBudget restarts = new RestartBudget();
@@ -79,18 +79,18 @@
     }
 
     /** What makes the decisions, by settings, seed and time. */
-    interface Maker {
-        DecisionModule make(Settings settings, long seed, long now);
+    interface Factory {
+        DecisionModule create(Settings settings, long seed, long now);
     }
 
-    PlatformDaemon(PlatformFile file, Maker maker) {
+    PlatformDaemon(PlatformFile file, Factory factory) {
         this.file = file;
-        this.maker = maker;
+        this.factory = factory;
         Settings settings = file.facts().settings();
         int reserved = settings.proxies() + (LineFront.COLLECTORS_A_ZONE + 1) * settings.zones() + FILES;
-        int strangers = Math.max(STRANGERS_LEAST, Math.min(STRANGERS_MOST, file.sockets() - reserved));
+        int unjoined = Math.max(UNJOINED_LEAST, Math.min(UNJOINED_MOST, file.sockets() - reserved));
         this.front = new LineFront(new Names(file.facts().zones(), file.facts().opTypes()), settings.proxies(), this::heard);
-        this.listener = new LineListener(new LineLimits(LINE_BYTES, strangers, STRANGER_MILLIS, PENDING_BYTES), front);
+        this.listener = new LineListener(new LineLimits(LINE_BYTES, unjoined, UNJOINED_MILLIS, PENDING_BYTES), front);
         this.source = new InstancesSource(file.discovery(), new InstanceEntries(file.facts().zones(), clock.unixOffset()), loop);
         this.asks = new ListAsks() {
             @Override public void followList(boolean on) {
@@ -109,11 +109,11 @@
             decisions = new Decisions(module(file.seed()), asks);
             source.start(this::listTold, list -> { });
             listTold(source.lastSeen(file.known()));
-            moment();
+            batch();
         }).sync();
         listener.start(sockets, file.listen());
-        LOG.info("assigner {} serves at {}:{}, {} tasks known, {} proxies, room for {} strangers", file.name(),
-                file.listen().getHostString(), listener.port(), source.held().size(), file.facts().settings().proxies(), listener.limits().strangers());
+        LOG.info("assigner {} serves at {}:{}, {} tasks known, {} proxies, room for {} that have not joined", file.name(),
+                file.listen().getHostString(), listener.port(), source.held().size(), file.facts().settings().proxies(), listener.limits().unjoined());
     }
 
     /** What else is to be done whenever discovery fails; runs on the event loop, and must not hold it up. */
@@ -122,7 +122,7 @@
     }
 
     private DecisionModule module(long seed) {
-        return maker.make(file.facts().settings(), seed, clock.now());
+        return factory.create(file.facts().settings(), seed, clock.now());
     }
 
     private void listTold(Event.ListTold told) {
@@ -173,24 +173,24 @@
     }
 
     private void wake() {
-        if (!momentDue) {
-            momentDue = true;
-            long wait = lastMoment + file.facts().round() - clock.now();
+        if (!batchDue) {
+            batchDue = true;
+            long wait = lastBatch + file.facts().round() - clock.now();
             if (wait <= 0) {
-                loop.execute(this::moment); // after what was read together
+                loop.execute(this::batch); // after what was read together
             } else {
-                loop.schedule(this::moment, wait * 100, TimeUnit.MICROSECONDS);
+                loop.schedule(this::batch, wait * 100, TimeUnit.MICROSECONDS);
             }
         }
     }
 
-    private void moment() {
-        momentDue = false;
+    private void batch() {
+        batchDue = false;
         if (stopping) {
             return; // the proxies go elsewhere from now on: what is ordered here could undo what they are told there
         }
         long now = clock.now();
-        lastMoment = now;
+        lastBatch = now;
         List<Event> told = List.copyOf(events);
         events.clear();
         try {
@@ -200,16 +200,16 @@
                 List<Order> orders = decisions.finish(now);
                 front.carryOut(orders, now);
                 long done = clock.now();
-                moments.recordValue(Math.min(TOOK_MOST, done - now));
+                batches.recordValue(Math.min(TOOK_MOST, done - now));
                 if (reportsTold >= 0) {
                     answered.recordValue(Math.min(TOOK_MOST, done - reportsTold));
                     reportsTold = -1;
                 }
             }
         } catch (DecisionFailed e) {
-            startAnew(e.getCause());
+            restart(e.getCause());
         } catch (RuntimeException | Error e) {
-            startAnew(e); // an error too: the moment's events are lost, and who joined in it would be served by nobody
+            restart(e); // an error too: the batch's events are lost, and who joined in it would be served by nobody
         }
         long next = decisions.nextTimer();
         if (next != timerAt && next != Long.MAX_VALUE) {
@@ -225,20 +225,20 @@
     }
 
     /** One bad moment must not take the process down: all its proxies would lose their streams for it. */
-    private void startAnew(Throwable cause) {
+    private void restart(Throwable cause) {
         failures++;
         if (!restarts.spend(clock.now())) {
             LOG.error("the decisions failed again and again, {} times in all: the assigner ends", failures, cause);
             ended.complete(cause);
             return;
         }
-        LOG.error("the decisions failed and start anew", cause);
+        LOG.error("the decisions failed and restart", cause);
         events.clear();
         reports.clear();
         decisions = new Decisions(module(file.seed() + failures), asks);
         timerAt = Long.MAX_VALUE;
         heard(new Event.ListTold(Event.ListKind.LAST_SEEN, source.held()));
-        front.startAnew();
+        front.restart();
     }
 
     /** The configuration was replaced: discovery may have moved, the rest needs a new start. */
@@ -263,9 +263,9 @@
         loop.execute(() -> stopping = true);
         listener.stop();
         source.stop();
-        loop.submit(() -> LOG.info("assigner {} stops: {} proxies, {} messages dropped; moments p50 {} ms, p99 {} ms, most {} ms; from a "
+        loop.submit(() -> LOG.info("assigner {} stops: {} proxies, {} messages dropped; batches p50 {} ms, p99 {} ms, most {} ms; from a "
                 + "period's first report to the orders' last byte p50 {} ms, p99 {} ms, most {} ms", file.name(), front.proxiesHere(),
-                front.dropped(), millis(moments, 50), millis(moments, 99), millis(moments, 100), millis(answered, 50),
+                front.dropped(), millis(batches, 50), millis(batches, 99), millis(batches, 100), millis(answered, 50),
                 millis(answered, 99), millis(answered, 100))).await(STOP_MILLIS);
         sockets.shutdownGracefully(0, STOP_MILLIS, TimeUnit.MILLISECONDS).await(STOP_MILLIS);
         ended.complete(null);
--- a/src/main/java/stonespring/discovery/InstancesSource.java
+++ b/src/main/java/stonespring/discovery/InstancesSource.java
@@ -24,7 +24,7 @@
 /**
  * The platform's list of tasks: asked for whole, or watched by an answer that stays open and holds an object a line. A
  * watch that breaks, ends, goes silent or says what can't be read is told as failed, and the decisions say when to ask
- * again. The address may move: the new one is asked before the old one is let go. All of it lives on one event loop.
+ * again. The address may move: the new one is asked before the old one is closed. All of it lives on one event loop.
  */
 public final class InstancesSource implements TaskSource {
     private static final Logger LOG = LoggerFactory.getLogger(InstancesSource.class);
@@ -88,17 +88,17 @@
     @Override public void follow(boolean on) {
         loop.execute(() -> {
             following = on;
-            letGo();
+            cancel();
             if (on) {
                 watch = new Watch(address);
             }
         });
     }
 
-    private void letGo() {
+    private void cancel() {
         for (Watch some : new Watch[] {watch, moving}) {
             if (some != null) {
-                some.letGo();
+                some.cancel();
             }
         }
         watch = null;
@@ -114,7 +114,7 @@
             LOG.info("discovery moves from {} to {}", address, to);
             address = to;
             if (moving != null) {
-                moving.letGo();
+                moving.cancel();
                 moving = null;
             }
             if (watch != null) {
@@ -145,9 +145,9 @@
 
         @Override public void bytes(byte[] bytes) {
             if (this == moving) {
-                LOG.info("discovery {} answers: the old address is let go", to);
+                LOG.info("discovery {} answers: the old address is closed", to);
                 if (watch != null) {
-                    watch.letGo();
+                    watch.cancel();
                 }
                 watch = this;
                 moving = null;
@@ -199,14 +199,14 @@
         }
 
         /** Ends it without a word. */
-        private void letGo() {
+        private void cancel() {
             over = true;
             whole();
-            call.letGo();
+            call.cancel();
         }
 
         private void broken(String cause) {
-            call.letGo();
+            call.cancel();
             ended(cause);
         }
 
@@ -259,7 +259,7 @@
     @Override public void stop() {
         loop.execute(() -> {
             following = false;
-            letGo();
+            cancel();
             client.close();
         });
     }
--- a/src/main/java/stonespring/front/line/LineFront.java
+++ b/src/main/java/stonespring/front/line/LineFront.java
@@ -79,7 +79,7 @@
     @Override public void message(LinePeer peer, LineMessage message) {
         Object known = peer.keptFor();
         if (known == null) {
-            stranger(peer, message);
+            unjoined(peer, message);
         } else if (!PlatformWords.KINDS.contains(message.kind())) {
             peer.end("it goes on with what can't be read: " + LineMessage.printable(message.kind()));
         } else {
@@ -91,7 +91,7 @@
         }
     }
 
-    private void stranger(LinePeer peer, LineMessage message) {
+    private void unjoined(LinePeer peer, LineMessage message) {
         try {
             switch (message.kind()) {
                 case PlatformWords.JOIN -> joined(peer, words.join(message));
@@ -193,8 +193,8 @@
         }
     }
 
-    /** The decisions start anew: no table, level or withdrawal of theirs stands; who is joined joins again. */
-    public void startAnew() {
+    /** The decisions restart: no table, level or withdrawal of theirs stands; who is joined joins again. */
+    public void restart() {
         tables = new Tables(names.opTypes());
         for (Map.Entry<Integer, Stream> entry : streams.entrySet()) {
             Stream old = entry.getValue();
--- a/src/main/java/stonespring/http/HttpWatch.java
+++ b/src/main/java/stonespring/http/HttpWatch.java
@@ -10,7 +10,7 @@
 
 /**
  * One call whose answer comes in chunks and need never end, on a connection of its own. All of it lives on one event
- * loop. It ends once, by {@link Listener#ended}, unless it is let go before; after either nothing more is told. Silence
+ * loop. It ends once, by {@link Listener#ended}, unless it is cancelled before; after either nothing more is told. Silence
  * of the peer for longer than a bound is its end: a machine that vanished says nothing.
  */
 public final class HttpWatch {
@@ -51,7 +51,7 @@
     }
 
     /** Ends it without a word. */
-    public void letGo() {
+    public void cancel() {
         over = true;
         silence.cancel(false);
         Dialer.close(channel);
@@ -59,7 +59,7 @@
 
     private void end(String cause) {
         if (!over) {
-            letGo();
+            cancel();
             listener.ended(cause);
         }
     }
--- a/src/main/java/stonespring/line/LineListener.java
+++ b/src/main/java/stonespring/line/LineListener.java
@@ -19,22 +19,22 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Listens for lines, and keeps strangers few and short: they must never take a descriptor from those who are known. It
+ * Listens for lines, and keeps unjoined few and short: they must never take a descriptor from those who are known. It
  * lives on one event loop. Ends of connections are logged up to a number a second, then counted.
  */
 public final class LineListener {
     private static final Logger LOG = LoggerFactory.getLogger(LineListener.class);
     private static final int ACCEPT_BACKLOG = 1024; // connections; a whole fleet and a crowd dial within a second
-    private static final int ACCEPTS_AT_ONCE = 4; // connections; by so many the bound of strangers may be passed
+    private static final int ACCEPTS_AT_ONCE = 4; // connections; by so many the bound of unjoined may be passed
     // ms; a peer that says at once who it is was heard by then: it comes among hundreds, and one long moment of the loop
-    // must not make those strangers whose words lie read at the socket already.
-    private static final long STRANGER_LEAST_MILLIS = 50;
+    // must not make those unjoined whose words lie read at the socket already.
+    private static final long UNJOINED_LEAST_MILLIS = 50;
     private static final int READ_BYTES = 2048; // of one read; messages have a few hundred
     private static final int LOGGED_A_SECOND = 5; // lines; the rest are counted in one
 
     private final LineLimits limits;
     private final LineEvents events;
-    private final Set<LinePeer> strangers = new LinkedHashSet<>();
+    private final Set<LinePeer> unjoined = new LinkedHashSet<>();
     private Channel channel;
     private Future<?> crowded;
     private long secondAt;
@@ -70,11 +70,11 @@
     }
 
     /** A new connection: it has some time to say who it is. Beyond the bound no more are accepted until there is room. */
-    Future<?> stranger(LinePeer peer) {
-        strangers.add(peer);
-        Future<?> end = peer.channel().eventLoop().schedule(() -> peer.end("not joined within " + limits.strangerMillis() + " ms"),
-                limits.strangerMillis(), TimeUnit.MILLISECONDS);
-        if (strangers.size() >= limits.strangers()) {
+    Future<?> connected(LinePeer peer) {
+        unjoined.add(peer);
+        Future<?> end = peer.channel().eventLoop().schedule(() -> peer.end("not joined within " + limits.unjoinedMillis() + " ms"),
+                limits.unjoinedMillis(), TimeUnit.MILLISECONDS);
+        if (unjoined.size() >= limits.unjoined()) {
             Channel server = peer.channel().parent();
             server.config().setAutoRead(false);
             if (crowded == null) {
@@ -85,17 +85,17 @@
     }
 
     private Future<?> later(Channel server) {
-        return server.eventLoop().schedule(() -> makeRoom(server), STRANGER_LEAST_MILLIS, TimeUnit.MILLISECONDS);
+        return server.eventLoop().schedule(() -> makeRoom(server), UNJOINED_LEAST_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** The oldest go until half the room is free, but none that hardly had time to say who it is. */
     private void makeRoom(Channel server) {
-        long ripe = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(STRANGER_LEAST_MILLIS);
-        for (LinePeer oldest : List.copyOf(strangers)) {
-            if (strangers.size() <= limits.strangers() / 2 || oldest.since() - ripe > 0) {
+        long ripe = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(UNJOINED_LEAST_MILLIS);
+        for (LinePeer oldest : List.copyOf(unjoined)) {
+            if (unjoined.size() <= limits.unjoined() / 2 || oldest.since() - ripe > 0) {
                 break;
             }
-            oldest.end("too many strangers");
+            oldest.end("too many that have not joined");
         }
         if (crowded != null) {
             crowded = later(server);
@@ -103,8 +103,8 @@
     }
 
     void known(LinePeer peer) {
-        strangers.remove(peer);
-        if (crowded != null && strangers.size() < limits.strangers()) {
+        unjoined.remove(peer);
+        if (crowded != null && unjoined.size() < limits.unjoined()) {
             crowded.cancel(false);
             crowded = null;
             peer.channel().parent().config().setAutoRead(true);
@@ -122,7 +122,7 @@
             unlogged = 0;
         }
         if (logged++ < LOGGED_A_SECOND) {
-            LOG.warn("connection of {} ended: {}", peer.keptFor() == null ? "a stranger" : peer.keptFor(), cause);
+            LOG.warn("connection of {} ended: {}", peer.keptFor() == null ? "one that has not joined" : peer.keptFor(), cause);
         } else {
             unlogged++;
         }
--- a/src/main/java/stonespring/line/LinePeer.java
+++ b/src/main/java/stonespring/line/LinePeer.java
@@ -14,7 +14,7 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * One connection; its state lives on its event loop and all calls come from there. Until it is kept it is a stranger:
+ * One connection; its state lives on its event loop and all calls come from there. Until it is kept it has not joined:
  * any fault of it is answered by a refusal and a close. The sign of life is answered here, whoever asks.
  */
 public final class LinePeer extends SimpleChannelInboundHandler<LineMessage> {
@@ -25,7 +25,7 @@
     private final LineEvents events;
     private Channel channel;
     private long since;
-    private Future<?> strangerEnd;
+    private Future<?> unjoinedEnd;
     private Object keptFor;
     private boolean over;
 
@@ -34,19 +34,19 @@
         this.events = events;
     }
 
-    /** What this connection was kept for; null for a stranger. */
+    /** What this connection was kept for; null while it has not joined. */
     public Object keptFor() {
         return keptFor;
     }
 
-    /** It is a stranger no longer. */
+    /** It has joined. */
     public void keep(Object purpose) {
         keptFor = purpose;
-        noStranger();
+        notUnjoined();
     }
 
-    private void noStranger() {
-        strangerEnd.cancel(false);
+    private void notUnjoined() {
+        unjoinedEnd.cancel(false);
         listener.known(this);
     }
 
@@ -76,7 +76,7 @@
         over = true;
         listener.ended(this, cause);
         if (keptFor == null) {
-            noStranger();
+            notUnjoined();
             String word = cause.replaceAll("[^A-Za-z0-9]+", "-");
             ChannelFuture refused =
                     channel.writeAndFlush(bytes(REFUSAL + " reason=" + word.substring(0, Math.min(80, word.length())) + "\r\n"));
@@ -94,7 +94,7 @@
     @Override public void channelActive(ChannelHandlerContext ctx) {
         channel = ctx.channel();
         since = System.nanoTime();
-        strangerEnd = listener.stranger(this);
+        unjoinedEnd = listener.connected(this);
     }
 
     Channel channel() {
@@ -125,7 +125,7 @@
         if (keptFor != null) {
             events.closed(this);
         } else {
-            noStranger();
+            notUnjoined();
         }
     }
 
--- a/src/test/java/stonespring/daemon/PlatformTest.java
+++ b/src/test/java/stonespring/daemon/PlatformTest.java
@@ -96,7 +96,7 @@
     private Socket dial() throws Exception {
         String serves = " serves at 127.0.0.1:";
         awaitLog(serves);
-        awaitLog("strangers");
+        awaitLog("have not joined");
         String rest = log().substring(log().indexOf(serves) + serves.length());
         Socket socket = new Socket("127.0.0.1", Integer.parseInt(rest.substring(0, rest.indexOf(','))));
         socket.setSoTimeout(WAIT);
@@ -144,7 +144,7 @@
         CallByHand second = watched(moved);
         assertEquals("/registry/instances?stream=1&index=5", second.target);
         second.raw(CallByHand.CHUNKS).chunk(list(6, host("s-1", "west"), host("s-2", "east")) + "\n");
-        assertEquals(-1, call.socket.getInputStream().read(), "the old address is let go once the new one answered");
+        assertEquals(-1, call.socket.getInputStream().read(), "the old address is closed once the new one answered");
         String drained = hears.readLine(); // s-3 is gone: its line leaves at once
         assertNotNull(drained);
         say(proxy, "PING");
@@ -353,7 +353,7 @@
     }
 
     @ParameterizedTest @ValueSource(ints = {2, 3}) // an exception, an error
-    void aFailureInsideTheDecisionsStartsThemAnewAndNoStreamIsLost(int id) throws Exception {
+    void aFailureInsideTheDecisionsRestartsThemAndNoStreamIsLost(int id) throws Exception {
         Path file = folder.resolve("config.json");
         Files.writeString(file, config(discovery.getLocalPort()));
         List<Fails> made = new ArrayList<>();
--- a/src/test/java/stonespring/discovery/InstancesSourceTest.java
+++ b/src/test/java/stonespring/discovery/InstancesSourceTest.java
@@ -168,7 +168,7 @@
         assertEquals(2, source.held().size());
     }
 
-    @Test void theNewAddressIsAskedBeforeTheOldIsLetGo() throws Exception {
+    @Test void theNewAddressIsAskedBeforeTheOldIsClosed() throws Exception {
         source.follow(true);
         CallByHand old = call(discovery).raw(HEAD).chunk(object(5, true, host("s-1", "Ready")));
         next();
@@ -180,7 +180,7 @@
         assertEquals("CHANGES s-2/READY/1/1.5/9500", words(next()), "the old one still tells");
         moved.raw(HEAD).chunk(object(6, false, host("s-2", "Ready")));
         assertEquals("CHANGES s-2/READY/1/1.5/9500", words(next()));
-        assertEquals(-1, old.socket.getInputStream().read(), "now it is let go");
+        assertEquals(-1, old.socket.getInputStream().read(), "now it is closed");
         moved.socket.close();
         assertEquals("FAILED", words(next()), "one failure, of the new one");
         source.follow(true);
--- a/src/test/java/stonespring/front/line/LineFrontTest.java
+++ b/src/test/java/stonespring/front/line/LineFrontTest.java
@@ -40,7 +40,7 @@
 /** Each kind of peer on loopback: what it gets, and what the decisions hear of it. */
 final class LineFrontTest {
     private static final int WAIT = 10_000; // ms; an upper bound, every wait ends with its event
-    private static final int STRANGERS = 4;
+    private static final int UNJOINED = 4;
     private static final String JOIN = "SUBSCRIBE id=3 site=east rps=2.5 new=1";
     private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) loops.next();
@@ -86,12 +86,12 @@
         listen(60_000);
     }
 
-    private void listen(int strangerMillis) throws Exception {
+    private void listen(int unjoinedMillis) throws Exception {
         if (listener != null) {
             listener.stop();
         }
         front = new LineFront(new Names(List.of("west", "east"), List.of("look", "buy")), 10, heard::add);
-        listener = new LineListener(new LineLimits(400, STRANGERS, strangerMillis, 4096), front)
+        listener = new LineListener(new LineLimits(400, UNJOINED, unjoinedMillis, 4096), front)
                 .start(loops, new InetSocketAddress("127.0.0.1", 0));
         loop.submit(() -> front.listTold(new Event.ListTold(Event.ListKind.LAST_SEEN, List.of(listing("s-1"), listing("s-2")))))
                 .sync();
@@ -179,7 +179,7 @@
         }
     }
 
-    @Test void aStrangerThatCantBeReadIsRefusedAndEnded() throws Exception {
+    @Test void anUnjoinedOneThatCantBeReadIsRefusedAndEnded() throws Exception {
         for (String bad : new String[] {"GET / HTTP/1.1", "SUBSCRIBE id=10 site=east rps=1 new=1", "SUBSCRIBE id=3 site=mars rps=1 new=1",
             "SUBSCRIBE id=x site=east rps=1 new=1", "SUBSCRIBE id=3 site=east rps=NaN new=1", "SUBSCRIBE id=3 site=east rps=1",
             "SUBSCRIBE id=3 site=east rps=1 new=2", "SOURCE site=mars", "LOAD site=west target=s-1 count=1 fail=0 mean=1 over=1000",
@@ -192,7 +192,7 @@
         assertTrue(heard.isEmpty());
     }
 
-    @Test void strangersHaveLittleTimeWhateverTheyAsk() throws Exception {
+    @Test void unjoinedOnesHaveLittleTimeWhateverTheyAsk() throws Exception {
         listen(300);
         Client silent = new Client();
         Client asks = new Client();
@@ -205,21 +205,21 @@
         }
     }
 
-    /** Strangers came by hundreds and held every descriptor: the oldest of them goes, and a proxy always finds room. */
+    /** Unjoined ones came by hundreds and held every descriptor: the oldest of them goes, and a proxy always finds room. */
     @Test void aCrowdKeepsNobodyOut() throws Exception {
         List<Client> crowd = new ArrayList<>();
         for (int i = 0; i < 30; i++) {
             crowd.add(new Client());
         }
         Client proxy = joined();
-        for (int i = 0; i < 30 - STRANGERS; i++) {
-            assertTrue(crowd.get(i).hear().startsWith("NACK"), "stranger " + i);
+        for (int i = 0; i < 30 - UNJOINED; i++) {
+            assertTrue(crowd.get(i).hear().startsWith("NACK"), "unjoined " + i);
         }
         proxy.alive();
         assertTrue(front.here(new ProxyId(3)));
     }
 
-    /** A fleet dials a restarted assigner while it is busy: all have said who they are before it looks, and none is a stranger. */
+    /** A fleet dials a restarted assigner while it is busy: all have said who they are before it looks, and none is thrown out. */
     @Test void aHerdThatHasSaidWhoItIsIsNotThrownOut() throws Exception {
         CountDownLatch held = new CountDownLatch(1);
         loop.execute(() -> {
@@ -244,7 +244,7 @@
     }
 
     /** It asks for signs of life and reads none: the refusal can't leave either, and its descriptor must not wait for that. */
-    @Test void aStrangerThatReadsNothingIsCutOff() throws Exception {
+    @Test void anUnjoinedOneThatReadsNothingIsCutOff() throws Exception {
         Client client = new Client();
         byte[] asks = "PING\r\n".repeat(10_000).getBytes(StandardCharsets.US_ASCII);
         assertThrows(IOException.class, () -> {
@@ -294,11 +294,11 @@
         assertEquals(0, front.proxiesHere());
     }
 
-    @Test void theDecisionsStartAnewAndWhoIsJoinedJoinsAgain() throws Exception {
+    @Test void theDecisionsRestartAndWhoIsJoinedJoinsAgain() throws Exception {
         Client proxy = joined();
         order(line(3, "s-1", 1), bind(3));
         assertEquals("CONFIG replace=1 rows=s-1:1", proxy.hear());
-        loop.submit(front::startAnew).sync();
+        loop.submit(front::restart).sync();
         assertEquals(new Event.ProxyJoined(new ProxyId(3), new ZoneId(1), 2.5, false), next());
         order(line(3, "s-2", 0.5), bind(3));
         assertEquals("CONFIG replace=1 rows=s-2:0.5 undrop=s-2", proxy.hear());
