A look at the configuration that can't start its thread is not the last one

Read once more: where no thread was to be had, `looking` stayed set and the file was never looked at again; and a file that never ends would have held up the process's own end. The thread is a daemon, and a start that fails clears the mark. PlatformTest passed; the failing start itself has no test.

--- a/src/main/java/stonespring/cli/AssignerCommand.java
+++ b/src/main/java/stonespring/cli/AssignerCommand.java
@@ -55,7 +55,13 @@
         // good would never hear of a drain again. Where that address fails, the file may name another one.
         daemon.whenListFails(() -> {
             if (looking.compareAndSet(false, true)) {
-                new Thread(this::look, "configuration").start();
+                Thread look = new Thread(this::look, "configuration");
+                look.setDaemon(true); // a file that can't be read to its end must not hold up the process's own
+                try {
+                    look.start();
+                } catch (OutOfMemoryError e) {
+                    looking.set(false); // no thread is to be had now: the next failure looks again
+                }
             }
         });
     }
