--- a/src/main/java/stonespring/cli/AssignerCommand.java
+++ b/src/main/java/stonespring/cli/AssignerCommand.java
@@ -12,6 +12,7 @@
 import stonespring.config.PlatformFile;
 import stonespring.daemon.PlatformDaemon;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 @Command(name = "assigner", mixinStandardHelpOptions = true,
         description = "Runs an assigner on the operators' platform until it is told to stop.")
@@ -30,8 +31,12 @@
 
     @Override public Integer call() throws Exception {
         // Without a handler of ours a hang-up ends the process; one that comes during the start waits for its end.
-        Signal.handle(new Signal("HUP"), signal -> reload());
+        SignalHandler before = Signal.handle(new Signal("HUP"), signal -> reload());
         logs.set();
+        if (before == SignalHandler.SIG_IGN) {
+            // So it is under nohup and its like, and the virtual machine leaves it so: no handler of ours is ever told.
+            LOG.warn("hang-ups are ignored, as whoever started this process wants it: a new configuration is seen where discovery fails");
+        }
         if (path == null || path.toString().isEmpty()) {
             return Exit.fail(Exit.USAGE, "NODE_CONFIG: it is not set, and no file is named");
         }
--- a/src/test/java/stonespring/daemon/PlatformTest.java
+++ b/src/test/java/stonespring/daemon/PlatformTest.java
@@ -276,6 +276,28 @@
         assertEquals("/registry/instances?stream=1&index=5", watched(moved).target);
     }
 
+    /** Started under nohup a process ignores hang-ups, whatever handler it sets: it says so, and finds a moved discovery all the same. */
+    @Test void aProcessThatIgnoresHangUpsSaysSoAndFindsAMovedDiscovery() throws Exception {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, config(discovery.getLocalPort()));
+        ProcessBuilder builder = builder(file);
+        List<String> command = new ArrayList<>(List.of("sh", "-c", "trap '' HUP; exec \"$@\"", "sh"));
+        command.addAll(builder.command());
+        process = builder.command(command).start();
+        dial();
+        awaitLog("hang-ups are ignored");
+        CallByHand call = watched(discovery);
+        call.raw(CallByHand.CHUNKS).chunk(list(5, host("s-1", "west")) + "\n");
+        ServerSocket moved = new ServerSocket(0, 50, java.net.InetAddress.getByName("127.0.0.1"));
+        moved.setSoTimeout(WAIT);
+        open.add(moved);
+        Files.writeString(file, config(moved.getLocalPort()));
+        hangUp();
+        discovery.close();
+        call.close();
+        assertEquals("/registry/instances?stream=1&index=5", watched(moved).target);
+    }
+
     /** Whatever the settings say of the simulator's discovery: here a list that nobody watches is told to nobody. */
     @Test void theListIsWatchedForCustomersWhoseSettingsSayThatItIsPushed() throws Exception {
         Path file = folder.resolve("config.json");
