--- a/src/test/java/stonespring/daemon/PlatformTest.java
+++ b/src/test/java/stonespring/daemon/PlatformTest.java
@@ -46,9 +46,7 @@
     private Process process;
 
     @BeforeEach void start() throws Exception {
-        discovery = new ServerSocket(0, 50, java.net.InetAddress.getByName("127.0.0.1"));
-        discovery.setSoTimeout(WAIT);
-        open.add(discovery);
+        discovery = server();
     }
 
     @AfterEach void stop() throws Exception {
@@ -81,6 +79,22 @@
         return process;
     }
 
+    private ServerSocket server() throws IOException {
+        ServerSocket server = new ServerSocket(0, 50, java.net.InetAddress.getByName("127.0.0.1"));
+        server.setSoTimeout(WAIT);
+        open.add(server);
+        return server;
+    }
+
+    /** As {@link #run}, after a shell's command that the process inherits the effect of. */
+    private void runAfter(String shell, String text) throws IOException {
+        Path file = Files.writeString(folder.resolve("config.json"), text);
+        ProcessBuilder builder = builder(file);
+        List<String> command = new ArrayList<>(List.of("sh", "-c", shell + "; exec \"$@\"", "sh"));
+        command.addAll(builder.command());
+        process = builder.command(command).start();
+    }
+
     private ProcessBuilder builder(Path file) {
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx64m",
                 "-cp", System.getProperty("java.class.path"), "stonespring.Main", "assigner").redirectErrorStream(true)
@@ -133,9 +147,7 @@
         assertTrue(table.matches("CONFIG replace=1 rows=s-[123]:[0-9.]+(,s-[123]:[0-9.]+)* gate=1 again=1 stamp=[0-9]+"), table);
 
         Path file = folder.resolve("config.json");
-        ServerSocket moved = new ServerSocket(0, 50, java.net.InetAddress.getByName("127.0.0.1"));
-        moved.setSoTimeout(WAIT);
-        open.add(moved);
+        ServerSocket moved = server();
         Files.writeString(file, "{\"name\":");
         hangUp();
         awaitLog("the new configuration is not used");
@@ -174,11 +186,8 @@
         dial();
         CallByHand call = watched(discovery);
         call.raw(CallByHand.CHUNKS).chunk(list(5, host("s-1", "west")) + "\n");
-        ServerSocket older = new ServerSocket(0, 50, java.net.InetAddress.getByName("127.0.0.1"));
-        ServerSocket newer = new ServerSocket(0, 50, java.net.InetAddress.getByName("127.0.0.1"));
-        older.setSoTimeout(WAIT);
-        newer.setSoTimeout(WAIT);
-        open.addAll(List.of(older, newer));
+        ServerSocket older = server();
+        ServerSocket newer = server();
         Path file = folder.resolve("config.json");
         Path pipe = folder.resolve("pipe");
         assertEquals(0, new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor());
@@ -212,9 +221,7 @@
 
     /** The signal comes while the file is read for the first time, from a pipe that the test holds back: it waits, and counts. */
     @Test void aHangUpDuringTheStartWaitsForItsEnd() throws Exception {
-        ServerSocket newer = new ServerSocket(0, 50, java.net.InetAddress.getByName("127.0.0.1"));
-        newer.setSoTimeout(WAIT);
-        open.add(newer);
+        ServerSocket newer = server();
         Path file = folder.resolve("config.json");
         assertEquals(0, new ProcessBuilder("mkfifo", file.toString()).start().waitFor());
         ProcessBuilder builder = builder(file);
@@ -233,12 +240,7 @@
      * crowd is gone the list is watched and proxies are served as before.
      */
     @Test void aProcessThatRanOutOfDescriptorsComesBack() throws Exception {
-        Path file = folder.resolve("config.json");
-        Files.writeString(file, config(discovery.getLocalPort()));
-        ProcessBuilder builder = builder(file);
-        List<String> command = new ArrayList<>(List.of("sh", "-c", "ulimit -n 96; exec \"$@\"", "sh"));
-        command.addAll(builder.command());
-        process = builder.command(command).start();
+        runAfter("ulimit -n 96", config(discovery.getLocalPort()));
         Socket early = dial();
         say(early, "SUBSCRIBE id=1 site=west rps=3.0 new=1");
         watched(discovery).raw(CallByHand.CHUNKS).chunk(list(5, host("s-1", "west")) + "\n").close();
@@ -267,9 +269,7 @@
         dial();
         CallByHand call = watched(discovery);
         call.raw(CallByHand.CHUNKS).chunk(list(5, host("s-1", "west")) + "\n");
-        ServerSocket moved = new ServerSocket(0, 50, java.net.InetAddress.getByName("127.0.0.1"));
-        moved.setSoTimeout(WAIT);
-        open.add(moved);
+        ServerSocket moved = server();
         Files.writeString(folder.resolve("config.json"), config(moved.getLocalPort()));
         discovery.close();
         call.close();
@@ -278,20 +278,13 @@
 
     /** Started under nohup a process ignores hang-ups, whatever handler it sets: it says so, and finds a moved discovery all the same. */
     @Test void aProcessThatIgnoresHangUpsSaysSoAndFindsAMovedDiscovery() throws Exception {
-        Path file = folder.resolve("config.json");
-        Files.writeString(file, config(discovery.getLocalPort()));
-        ProcessBuilder builder = builder(file);
-        List<String> command = new ArrayList<>(List.of("sh", "-c", "trap '' HUP; exec \"$@\"", "sh"));
-        command.addAll(builder.command());
-        process = builder.command(command).start();
+        runAfter("trap '' HUP", config(discovery.getLocalPort()));
         dial();
         awaitLog("hang-ups are ignored");
         CallByHand call = watched(discovery);
         call.raw(CallByHand.CHUNKS).chunk(list(5, host("s-1", "west")) + "\n");
-        ServerSocket moved = new ServerSocket(0, 50, java.net.InetAddress.getByName("127.0.0.1"));
-        moved.setSoTimeout(WAIT);
-        open.add(moved);
-        Files.writeString(file, config(moved.getLocalPort()));
+        ServerSocket moved = server();
+        Files.writeString(folder.resolve("config.json"), config(moved.getLocalPort()));
         hangUp();
         discovery.close();
         call.close();
