Load the program's classes before listening, so that none is missing without descriptors

Cause: a class that runs from a folder is read from its file when it is first needed. Without a free descriptor that fails, the JVM remembers the failed resolution for the life of the process, and each restarted engine meets the same NoClassDefFoundError.

The log of a failed run has ClassNotFoundException: stonespring.model.Event$TimerFired, cause "Too many open files", eleven times, and "the instance ends".

Fix: commands that serve load all classes of the program if it runs from a folder, found by walking that folder, and open each archive of the class path by one look-up that no archive answers. No list is kept by hand. From the jar the JVM keeps the archive open, so that nothing is added there.

Test: loadsAllClassesAndOpensAllArchivesBeforeItListens compares the loaded classes with those in the folder, and the open files with the class path.

--- a/src/main/java/stonespring/cli/EndpointCommand.java
+++ b/src/main/java/stonespring/cli/EndpointCommand.java
@@ -63,6 +63,7 @@
               + " and --count "
               + count);
     }
+    ClassPreloader.preload();
     for (int i = 0; i < count; i++) {
       System.out.println(
           "task "
--- a/src/main/java/stonespring/cli/PlatformCommand.java
+++ b/src/main/java/stonespring/cli/PlatformCommand.java
@@ -47,6 +47,7 @@
       throw CommandFailedException.usage(
           "assigner: expected a configuration file as argument FILE or in NODE_CONFIG, found neither");
     }
+    ClassPreloader.preload();
     PlatformDaemon daemon = new PlatformDaemon(readConfig());
     daemon.start();
     reloader.attach(daemon);
--- a/src/main/java/stonespring/cli/ProxyCommand.java
+++ b/src/main/java/stonespring/cli/ProxyCommand.java
@@ -85,6 +85,7 @@
               + " and --name "
               + name);
     }
+    ClassPreloader.preload();
     ProxySettings settings = proxySettings(instanceSettings);
     MultiThreadIoEventLoopGroup eventLoops =
         new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
--- a/src/main/java/stonespring/cli/RegistryCommand.java
+++ b/src/main/java/stonespring/cli/RegistryCommand.java
@@ -40,6 +40,7 @@
   @Override
   public Integer call() throws Exception {
     logging.apply();
+    ClassPreloader.preload();
     System.out.println("registry " + StandIns.startRegistry(file, zones, port));
     return ForegroundProcess.runUntilKilled();
   }
--- a/src/main/java/stonespring/cli/ServeCommand.java
+++ b/src/main/java/stonespring/cli/ServeCommand.java
@@ -41,6 +41,7 @@
   public Integer call() throws Exception {
     logging.apply();
     InstanceSettings settings = withOptions(InputFiles.readSettings(file));
+    ClassPreloader.preload();
     ChpDaemon daemon = new ChpDaemon(settings);
     daemon.start();
     System.out.println("serving " + settings.listen().host() + " " + daemon.port());
--- a/src/test/java/stonespring/daemon/PlatformProcess.java
+++ b/src/test/java/stonespring/daemon/PlatformProcess.java
@@ -5,10 +5,13 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /** An instance in a process of its own, started in the way the platform starts it. */
@@ -113,6 +116,18 @@
     assertEquals(0, new ProcessBuilder("kill", "-HUP", pid).start().waitFor());
   }
 
+  /** Returns the files that the process has open. */
+  Set<Path> openFiles() throws IOException {
+    Set<Path> files = new HashSet<>();
+    try (DirectoryStream<Path> descriptors =
+        Files.newDirectoryStream(Path.of("/proc/" + process.pid() + "/fd"))) {
+      for (Path descriptor : descriptors) {
+        files.add(Files.readSymbolicLink(descriptor));
+      }
+    }
+    return files;
+  }
+
   /** Sends SIGTERM and returns how long the process took to end. */
   long measureTerminationNanos() throws Exception {
     process.destroy();
--- a/src/test/java/stonespring/daemon/PlatformProcessTest.java
+++ b/src/test/java/stonespring/daemon/PlatformProcessTest.java
@@ -6,10 +6,17 @@
 import static stonespring.daemon.PlatformFixture.endpoint;
 import static stonespring.daemon.PlatformFixture.endpointList;
 
+import java.io.File;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.extension.RegisterExtension;
 
@@ -95,6 +102,47 @@
     assertEquals("PONG", early.readLineAfterUpdates(), "a connected proxy stays connected");
   }
 
+  /**
+   * Guards against a class that is read from its file, or an archive that is opened, only after the
+   * descriptors have run out.
+   */
+  @Test
+  void loadsAllClassesAndOpensAllArchivesBeforeItListens() throws Exception {
+    platform.writeConfig(platform.config());
+    Path classLog = platform.file("classes.log");
+    PlatformProcess process =
+        platform.startProcessAfter(
+            "export JDK_JAVA_OPTIONS=-Xlog:class+load:file=" + classLog.toString());
+    process.awaitPort();
+    Set<String> missing = programClasses();
+    try (Stream<String> lines = Files.lines(classLog)) {
+      lines.map(line -> line.replaceAll("^\\[.*\\] | source: .*$", "")).forEach(missing::remove);
+    }
+    assertEquals(Set.of(), missing, "classes that are not loaded");
+    Set<Path> unopened = archivesOfClassPath();
+    unopened.removeAll(process.openFiles());
+    assertEquals(Set.of(), unopened, "archives that are not open");
+  }
+
+  private static Set<String> programClasses() throws Exception {
+    Path folder =
+        Path.of(PlatformDaemon.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+    try (Stream<Path> files = Files.walk(folder)) {
+      return files
+          .map(file -> folder.relativize(file).toString())
+          .filter(file -> file.endsWith(".class"))
+          .map(file -> file.replaceAll("\\.class$", "").replace('/', '.'))
+          .collect(Collectors.toCollection(TreeSet::new));
+    }
+  }
+
+  private static Set<Path> archivesOfClassPath() {
+    return Stream.of(System.getProperty("java.class.path").split(File.pathSeparator))
+        .filter(entry -> entry.endsWith(".jar"))
+        .map(Path::of)
+        .collect(Collectors.toCollection(TreeSet::new));
+  }
+
   @Test
   void exitsWithOneLogLineWhenPortIsInUse() throws Exception {
     String inUse = "\"listen\":\"127.0.0.1:" + platform.discovery().getLocalPort() + "\"";
