End the instance when a restarted engine meets the same linkage error

What callers saw: an engine that fails for a class that can't be loaded is restarted ten times in vain; proxies stay connected to an instance that decides nothing, and are reset in the end.

Cause: PlatformEngine.restartEngine treats every failure alike, but the JVM remembers a failed class resolution, so that no restart can cure it.

An ended engine runs no further batch.

--- a/src/main/java/stonespring/daemon/PlatformEngine.java
+++ b/src/main/java/stonespring/daemon/PlatformEngine.java
@@ -15,7 +15,8 @@
  * Runs the decision engine of a {@link PlatformDaemon}: passes events to it in batches and has the
  * proxy API execute its commands. A failed engine is replaced by a new one that starts with the
  * current endpoint list and the connected proxies, so that no proxy loses its connection. {@link
- * RestartBudget} limits how often this happens. Confined to the event loop, except for the
+ * RestartBudget} limits how often this happens. If a new engine meets the {@link LinkageError} of
+ * the one before, the instance ends at once. Confined to the event loop, except for the
  * constructor.
  */
 final class PlatformEngine {
@@ -26,7 +27,7 @@
   private final InstanceClock clock;
   private final PlatformProxyApi proxyApi;
   private final PlatformEndpointSource source;
-  private final Consumer<Throwable> onRestartsExhausted;
+  private final Consumer<Throwable> onUnrecoverableFailure;
   private final EndpointListRequests endpointListRequests;
   private final EventBatcher eventBatcher;
   private final ReportBatcher reportBatcher;
@@ -36,11 +37,14 @@
   private EngineRunner engineRunner;
   private int engineFailures;
 
+  /** The latest linkage error of an engine; null if there was none. */
+  private String lastLinkageError;
+
   /**
    * Creates an object without an engine; {@link #start} creates the engine.
    *
-   * @param onRestartsExhausted receives the cause when the engine has failed too often to be
-   *     restarted
+   * @param onUnrecoverableFailure receives the cause when the engine has failed too often to be
+   *     restarted, or in a way that a restart can't cure
    */
   PlatformEngine(
       PlatformConfig config,
@@ -49,13 +53,13 @@
       InstanceClock clock,
       PlatformProxyApi proxyApi,
       PlatformEndpointSource source,
-      Consumer<Throwable> onRestartsExhausted) {
+      Consumer<Throwable> onUnrecoverableFailure) {
     this.config = config;
     this.factory = factory;
     this.clock = clock;
     this.proxyApi = proxyApi;
     this.source = source;
-    this.onRestartsExhausted = onRestartsExhausted;
+    this.onUnrecoverableFailure = onUnrecoverableFailure;
     this.endpointListRequests = EndpointListRequests.to(source);
     this.eventBatcher =
         new EventBatcher(
@@ -115,12 +119,16 @@
 
   private void restartEngine(Throwable cause) {
     engineFailures++;
+    if (isRepeatedLinkageError(cause)) {
+      endInstance(cause);
+      return;
+    }
     if (!restartBudget.tryRestart(clock.now())) {
       LOG.error(
           "the decision engine failed too often, {} times since the start: the instance ends",
           engineFailures,
           cause);
-      onRestartsExhausted.accept(cause);
+      endInstance(cause);
       return;
     }
     LOG.error("the decision engine failed and is restarted, proxies stay connected", cause);
@@ -132,6 +140,25 @@
     proxyApi.handleEngineRestart();
   }
 
+  /**
+   * Returns whether a restart has not cured the failure: the JVM remembers that it could not load a
+   * class, so that every use of the class fails until the process ends.
+   */
+  private boolean isRepeatedLinkageError(Throwable cause) {
+    if (!(cause instanceof LinkageError)) {
+      return false;
+    }
+    String description = cause.toString();
+    boolean repeated = description.equals(lastLinkageError);
+    lastLinkageError = description;
+    return repeated;
+  }
+
+  private void endInstance(Throwable cause) {
+    stop();
+    onUnrecoverableFailure.accept(cause);
+  }
+
   /**
    * Prevents all further batches. Proxies connect to other instances from now on, and a command of
    * this instance could undo one of theirs.
--- a/src/test/java/stonespring/daemon/PlatformEngineTest.java
+++ b/src/test/java/stonespring/daemon/PlatformEngineTest.java
@@ -112,6 +112,26 @@
     daemon.stop();
   }
 
+  /** Guards against ten vain restarts while a class can't be loaded. */
+  @Test
+  void endsAtOnceWhenRestartedEngineMeetsSameLinkageError() throws Exception {
+    List<DecisionEngine> engines = new ArrayList<>();
+    PlatformDaemon daemon =
+        platform.createDaemon(
+            (settings, seed, now) -> {
+              engines.add(new FailingEngine());
+              return engines.get(engines.size() - 1);
+            });
+    daemon.start();
+    LineClient proxy = platform.connect(daemon.port());
+    proxy.send("SUBSCRIBE id=3 site=west rps=3.0 new=1");
+    assertEquals(
+        "java.lang.NoClassDefFoundError: " + FAILURE_MESSAGE,
+        daemon.awaitEnd().orElseThrow().toString());
+    assertEquals(2, engines.size(), "the first engine and one restart");
+    daemon.stop();
+  }
+
   /** Blocks at a report until the test resumes it, and then changes the route table. */
   private static final class EngineBlockedByReport extends ScriptedEngine {
     private final CountDownLatch blocked = new CountDownLatch(1);
