Refuse connections below the descriptors that the process really has, and say so once

What callers saw: an instance started under "ulimit -n 96" logs room for 182 connections that have not joined. A crowd of them takes every descriptor: accepting fails, the list can't be watched again, a new configuration can't be read. Each second Netty logs a stack trace.

Cause: PlatformConnectionLimits.of counts the configured descriptors only, and nothing bounds the connections as a whole. Evidence: the log of recoversFromRunningOutOfDescriptors on, "at most 8 proxies and 182 connections that have not joined", then nine times "Too many open files" with a stack trace.

Fix: the lower one of the configured limit and that of /proc/self/limits counts. All connections together leave RESERVED_DESCRIPTORS (56, as before) to the archives, the list, a reload and refusals; one above that is answered NACK and closed. Pauses of accepting have their reasons in one place (AcceptGate), so that a retry after a failed accept no longer ends a pause for pending handshakes. A failed accept, a full count of pending handshakes and a refusal are logged at the first occurrence and again after ten seconds without one. With the configured limit in force nothing changes: pending handshakes, proxies and collectors never exceeded the bound together.

Test: refusesConnectionsAboveLimitUntilOneCloses; the limit is new, so that it can't run before.

--- a/src/main/java/stonespring/daemon/PlatformConnectionLimits.java
+++ b/src/main/java/stonespring/daemon/PlatformConnectionLimits.java
@@ -1,5 +1,6 @@
 package stonespring.daemon;
 
+import java.util.OptionalInt;
 import stonespring.config.PlatformConfig;
 import stonespring.line.LineLimits;
 import stonespring.model.Settings;
@@ -22,7 +23,10 @@
    */
   private static final int HANDSHAKE_TIMEOUT_MILLIS = 1_500;
 
-  /** Descriptors for the process itself, the listener and the requests to discovery. */
+  /**
+   * Descriptors for the program's archives, the listener, the log, requests to discovery, a reload
+   * of the configuration and connections that are refused. Connections never use them.
+   */
   private static final int RESERVED_DESCRIPTORS = 56;
 
   /**
@@ -42,15 +46,24 @@
   /**
    * Computes the limits. Connections with a pending handshake may use the descriptors that proxies,
    * collectors and the process itself leave over.
+   *
+   * @param descriptorLimit the descriptors that the operating system grants the process; empty if
+   *     unknown. The lower one of this limit and the configured one counts
    */
-  static LineLimits of(PlatformConfig config) {
+  static LineLimits of(PlatformConfig config, OptionalInt descriptorLimit) {
+    int descriptors = Math.min(config.sockets(), descriptorLimit.orElse(config.sockets()));
     Settings.Fleet fleet = config.settings().settings().fleet();
     // In each zone one collector above the limit is accepted before the oldest one is closed.
     int collectors = (PlatformProxyApi.MAX_COLLECTORS_PER_ZONE + 1) * fleet.zones();
-    int available = config.sockets() - fleet.proxies() - collectors - RESERVED_DESCRIPTORS;
+    int maxConnections = Math.max(MIN_PENDING_HANDSHAKES, descriptors - RESERVED_DESCRIPTORS);
+    int available = maxConnections - fleet.proxies() - collectors;
     int pendingHandshakes =
         Math.max(MIN_PENDING_HANDSHAKES, Math.min(MAX_PENDING_HANDSHAKES, available));
     return new LineLimits(
-        MAX_LINE_BYTES, pendingHandshakes, HANDSHAKE_TIMEOUT_MILLIS, MAX_PENDING_BYTES);
+        MAX_LINE_BYTES,
+        pendingHandshakes,
+        maxConnections,
+        HANDSHAKE_TIMEOUT_MILLIS,
+        MAX_PENDING_BYTES);
   }
 }
--- a/src/main/java/stonespring/daemon/PlatformDaemon.java
+++ b/src/main/java/stonespring/daemon/PlatformDaemon.java
@@ -52,7 +52,9 @@
             new NameTable(config.settings().zones(), config.settings().requestClassNames()),
             config.settings().settings().fleet().proxies(),
             this::onProxyEvent);
-    this.server = new LineServer(PlatformConnectionLimits.of(config), proxyApi);
+    this.server =
+        new LineServer(
+            PlatformConnectionLimits.of(config, DescriptorLimit.ofThisProcess()), proxyApi);
     this.source =
         new PlatformEndpointSource(
             config.discovery(),
--- a/src/main/java/stonespring/line/LineConnection.java
+++ b/src/main/java/stonespring/line/LineConnection.java
@@ -36,6 +36,7 @@
 
   private final LineLimits limits;
   private final PendingHandshakes pendingHandshakes;
+  private final ConnectionLimit connectionLimit;
   private final ConnectionCloseLog closeLog;
   private final LineHandler handler;
   private Channel channel;
@@ -47,10 +48,12 @@
   LineConnection(
       LineLimits limits,
       PendingHandshakes pendingHandshakes,
+      ConnectionLimit connectionLimit,
       ConnectionCloseLog closeLog,
       LineHandler handler) {
     this.limits = limits;
     this.pendingHandshakes = pendingHandshakes;
+    this.connectionLimit = connectionLimit;
     this.closeLog = closeLog;
     this.handler = handler;
   }
@@ -132,6 +135,9 @@
     channel = ctx.channel();
     connectedAtNanos = System.nanoTime();
     handshakeTimeout = pendingHandshakes.add(this);
+    if (!connectionLimit.add()) {
+      close("too many connections");
+    }
   }
 
   Channel channel() {
@@ -157,6 +163,7 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
+    connectionLimit.remove();
     if (closed) {
       return;
     }
--- a/src/main/java/stonespring/line/LineServer.java
+++ b/src/main/java/stonespring/line/LineServer.java
@@ -27,7 +27,9 @@
 
   private final LineLimits limits;
   private final LineHandler handler;
+  private final AcceptGate acceptGate = new AcceptGate();
   private final PendingHandshakes pendingHandshakes;
+  private final ConnectionLimit connectionLimit;
   private final ConnectionCloseLog closeLog = new ConnectionCloseLog();
   private Channel channel;
 
@@ -35,7 +37,8 @@
   public LineServer(LineLimits limits, LineHandler handler) {
     this.limits = limits;
     this.handler = handler;
-    this.pendingHandshakes = new PendingHandshakes(limits);
+    this.pendingHandshakes = new PendingHandshakes(limits, acceptGate);
+    this.connectionLimit = new ConnectionLimit(limits.maxConnections());
   }
 
   /**
@@ -55,6 +58,7 @@
                 new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(MAX_ACCEPTS_PER_READ))
             .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
+            .handler(acceptGate)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(
                 ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(READ_BUFFER_BYTES))
@@ -74,7 +78,7 @@
   }
 
   private LineConnection newConnection() {
-    return new LineConnection(limits, pendingHandshakes, closeLog, handler);
+    return new LineConnection(limits, pendingHandshakes, connectionLimit, closeLog, handler);
   }
 
   /** Returns the local port; only valid after {@link #start}. */
--- a/src/main/java/stonespring/line/PendingHandshakes.java
+++ b/src/main/java/stonespring/line/PendingHandshakes.java
@@ -1,11 +1,13 @@
 package stonespring.line;
 
-import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The connections of a listener whose handshake is incomplete. When their number reaches the limit,
@@ -20,7 +22,11 @@
    */
   private static final long MIN_HANDSHAKE_MILLIS = 50;
 
+  private static final Logger LOG = LoggerFactory.getLogger(PendingHandshakes.class);
+
   private final LineLimits limits;
+  private final AcceptGate acceptGate;
+  private final EpisodeLog fullLog = new EpisodeLog();
 
   /** Connections in the order in which they were established, the oldest first. */
   private final Set<LineConnection> connections = new LinkedHashSet<>();
@@ -28,8 +34,9 @@
   /** The next scheduled call of {@link #closeOldest}; null while connections are accepted. */
   private Future<?> eviction;
 
-  PendingHandshakes(LineLimits limits) {
+  PendingHandshakes(LineLimits limits, AcceptGate acceptGate) {
     this.limits = limits;
+    this.acceptGate = acceptGate;
   }
 
   /**
@@ -48,15 +55,24 @@
                 limits.handshakeTimeoutMillis(),
                 TimeUnit.MILLISECONDS);
     if (isFull()) {
-      Channel server = connection.channel().parent();
-      server.config().setAutoRead(false);
-      if (eviction == null) {
-        eviction = scheduleEviction(server);
-      }
+      pauseAccepting(connection.channel().eventLoop());
     }
     return timeout;
   }
 
+  private void pauseAccepting(EventLoop eventLoop) {
+    acceptGate.pause(AcceptGate.PauseReason.PENDING_HANDSHAKES);
+    if (eviction == null) {
+      eviction = scheduleEviction(eventLoop);
+    }
+    if (fullLog.shouldLog()) {
+      LOG.warn(
+          "Too many open files: accepting pauses until one of the {} connections that have not joined"
+              + " joins or is closed",
+          connections.size());
+    }
+  }
+
   /**
    * Returns the reason for closing a connection whose handshake timed out; it is also sent to the
    * peer.
@@ -69,17 +85,16 @@
     return connections.size() >= limits.maxPendingHandshakes();
   }
 
-  private Future<?> scheduleEviction(Channel server) {
-    return server
-        .eventLoop()
-        .schedule(() -> closeOldest(server), MIN_HANDSHAKE_MILLIS, TimeUnit.MILLISECONDS);
+  private Future<?> scheduleEviction(EventLoop eventLoop) {
+    return eventLoop.schedule(
+        () -> closeOldest(eventLoop), MIN_HANDSHAKE_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   /**
    * Closes the oldest connections that have reached the minimum age, until half of the limit is
    * free.
    */
-  private void closeOldest(Channel server) {
+  private void closeOldest(EventLoop eventLoop) {
     long latestEvictableConnectNanos =
         System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(MIN_HANDSHAKE_MILLIS);
     for (LineConnection oldest : List.copyOf(connections)) {
@@ -91,7 +106,7 @@
       oldest.close("too many that have not joined");
     }
     if (eviction != null) {
-      eviction = scheduleEviction(server);
+      eviction = scheduleEviction(eventLoop);
     }
   }
 
@@ -104,7 +119,7 @@
     if (eviction != null && !isFull()) {
       eviction.cancel(false);
       eviction = null;
-      connection.channel().parent().config().setAutoRead(true);
+      acceptGate.resume(AcceptGate.PauseReason.PENDING_HANDSHAKES);
     }
   }
 }
--- a/src/test/java/stonespring/proxyapi/platform/PlatformApiFixture.java
+++ b/src/test/java/stonespring/proxyapi/platform/PlatformApiFixture.java
@@ -39,6 +39,9 @@
   /** Limit of connections with an incomplete handshake. */
   static final int MAX_PENDING_HANDSHAKES = 4;
 
+  /** Limit of open connections: the proxies, and a few more. */
+  static final int MAX_CONNECTIONS = 16;
+
   /** Maximum duration of a wait; in a passing test, every wait ends earlier with its event. */
   private static final int MAX_WAIT_MILLIS = 10_000;
 
@@ -116,6 +119,7 @@
                 new LineLimits(
                     MAX_LINE_BYTES,
                     MAX_PENDING_HANDSHAKES,
+                    MAX_CONNECTIONS,
                     handshakeTimeoutMillis,
                     MAX_PENDING_WRITE_BYTES),
                 api)
--- a/src/test/java/stonespring/proxyapi/platform/PlatformHandshakeTest.java
+++ b/src/test/java/stonespring/proxyapi/platform/PlatformHandshakeTest.java
@@ -89,6 +89,30 @@
     assertTrue(fixture.api().isConnected(new ProxyId(3)));
   }
 
+  /** Guards against connections that use the descriptors which the process needs itself. */
+  @Test
+  void refusesConnectionsAboveLimitUntilOneCloses() throws Exception {
+    List<Client> proxies = new ArrayList<>();
+    for (int id = 0; id < 10; id++) {
+      proxies.add(fixture.connect().send("SUBSCRIBE id=" + id + " site=east rps=1 new=1"));
+      assertTrue(fixture.nextEvent() instanceof Event.ProxyConnected);
+    }
+    for (int i = 0; i < PlatformApiFixture.MAX_CONNECTIONS - proxies.size(); i++) {
+      Client collector = fixture.connect().send("SOURCE site=" + (i % 2 == 0 ? "west" : "east"));
+      collector.assertAnswersKeepAlive();
+    }
+    Client refused = fixture.connect();
+    assertEquals("NACK reason=too-many-connections", refused.receive());
+    assertNull(refused.receive());
+
+    proxies.get(0).close();
+    assertTrue(fixture.nextEvent() instanceof Event.ProxyDisconnected);
+    fixture.connect().send("SUBSCRIBE id=0 site=east rps=1 new=0").assertAnswersKeepAlive();
+    for (Client proxy : proxies.subList(1, proxies.size())) {
+      proxy.assertAnswersKeepAlive();
+    }
+  }
+
   /**
    * More proxies connect than the limit of pending handshakes, and all of them subscribe before the
    * event loop reads the first message.
