Retry a reload whose file could not be read; test 30 s without any free descriptor

What callers saw: a SIGHUP that arrives while the process has no free descriptor is lost. The configuration stays unread until discovery fails by itself, and an instance may follow a list server that is about to close.

Cause: ConfigReloader.reload treats a file that can't be read like one that is invalid.

Fix: a read that fails is retried every second until it succeeds, with one line at the first failure; an invalid or missing file changes nothing and is not retried, as before.

Test: for 30 s the process can open nothing (prlimit sets a limit below the descriptors in use). It gets a SIGHUP, a new list, an invalid message and a proxy that connects again; it keeps serving, carries the reload out and accepts the proxy once it can, and ends within 5 s of a SIGTERM without a free descriptor. No error is logged.

--- a/src/main/java/stonespring/config/PlatformConfig.java
+++ b/src/main/java/stonespring/config/PlatformConfig.java
@@ -63,7 +63,7 @@
     } catch (JsonProcessingException e) {
       throw malformed(file, e);
     } catch (IOException e) {
-      throw new InvalidConfigException(file, "cannot read the file: " + e.getMessage());
+      throw InvalidConfigException.ofReadFailure(file, e);
     } catch (InvalidSettingsException e) {
       throw new InvalidConfigException(file, "field 'settings': " + e.getMessage());
     }
--- a/src/main/java/stonespring/daemon/ConfigReloader.java
+++ b/src/main/java/stonespring/daemon/ConfigReloader.java
@@ -12,15 +12,19 @@
  * Reloads the platform's configuration file: on request, and after each failed fetch of the
  * endpoint list, since the discovery address may have changed without a request. Only that address
  * is applied, see {@link PlatformDaemon#reload}. If the file is invalid, the current configuration
- * stays in use. Thread-safe.
+ * stays in use; if it could not be read, the reload is retried until it can. Thread-safe.
  */
 public final class ConfigReloader {
   private static final Logger LOG = LoggerFactory.getLogger(ConfigReloader.class);
 
+  private static final long RETRY_MILLIS = 1_000;
+
   private final Path file;
   private final AtomicBoolean backgroundReloadRunning = new AtomicBoolean();
   private PlatformDaemon daemon; // null before attach; guarded by this
   private boolean reloadRequested; // guarded by this
+  private boolean retryPending; // guarded by this
+  private boolean lastReadFailed; // guarded by this
 
   /**
    * Creates a reloader. A reload that is requested before {@link #attach} is postponed until then.
@@ -48,12 +52,45 @@
       return;
     }
     try {
-      daemon.reload(PlatformConfig.read(file));
+      PlatformConfig newConfig = PlatformConfig.read(file);
+      lastReadFailed = false;
+      daemon.reload(newConfig);
     } catch (RejectedExecutionException e) {
       LOG.info("the new configuration is not used: the instance has stopped already");
     } catch (InvalidConfigException e) {
+      handleInvalid(e);
+    }
+  }
+
+  private void handleInvalid(InvalidConfigException e) {
+    if (!e.isReadFailure()) {
+      lastReadFailed = false;
       LOG.warn(
           "the new configuration is not used, the current one stays in effect: {}", e.getMessage());
+      return;
+    }
+    if (!lastReadFailed) {
+      LOG.warn(
+          "the new configuration is not used yet, reading it is retried every {} ms: {}",
+          RETRY_MILLIS,
+          e.getMessage());
+    }
+    lastReadFailed = true;
+    if (!retryPending) {
+      retryPending = startBackgroundThread(this::retry);
+    }
+  }
+
+  private void retry() {
+    try {
+      Thread.sleep(RETRY_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return;
+    }
+    synchronized (this) {
+      retryPending = false;
+      reload();
     }
   }
 
@@ -62,13 +99,20 @@
     if (!backgroundReloadRunning.compareAndSet(false, true)) {
       return;
     }
-    Thread thread = new Thread(this::runBackgroundReload, "configuration");
+    if (!startBackgroundThread(this::runBackgroundReload)) {
+      backgroundReloadRunning.set(false); // the next failed fetch retries
+    }
+  }
+
+  /** Starts a thread; returns false if none could be created. */
+  private static boolean startBackgroundThread(Runnable action) {
+    Thread thread = new Thread(action, "configuration");
     thread.setDaemon(true); // a blocked read of the file must not delay the exit
     try {
       thread.start();
+      return true;
     } catch (OutOfMemoryError e) {
-      // No thread could be created; the next failed fetch retries.
-      backgroundReloadRunning.set(false);
+      return false;
     }
   }
 
--- a/src/test/java/stonespring/daemon/EndpointListRequest.java
+++ b/src/test/java/stonespring/daemon/EndpointListRequest.java
@@ -22,6 +22,11 @@
     exchange.writeRaw(ManualHttpExchange.CHUNKED_HEAD).writeChunk(endpointList + "\n");
   }
 
+  /** Sends another endpoint list on a watch that {@link #beginWatch} has started. */
+  void continueWatch(String endpointList) throws IOException {
+    exchange.writeChunk(endpointList + "\n");
+  }
+
   /** Waits until the client closes the connection or sends a byte; returns whether it closed it. */
   boolean closedByClient() throws IOException {
     return exchange.closedByClient();
--- a/src/test/java/stonespring/daemon/PlatformProcess.java
+++ b/src/test/java/stonespring/daemon/PlatformProcess.java
@@ -116,6 +116,17 @@
     assertEquals(0, new ProcessBuilder("kill", "-HUP", pid).start().waitFor());
   }
 
+  /**
+   * Sets the soft limit of file descriptors. Under a limit below those in use, the process can open
+   * no file and no socket.
+   */
+  void limitDescriptors(int limit) throws Exception {
+    String pid = String.valueOf(process.pid());
+    Process prlimit =
+        new ProcessBuilder("prlimit", "--pid", pid, "--nofile=" + limit + ":").start();
+    assertEquals(0, prlimit.waitFor());
+  }
+
   /** Returns the files that the process has open. */
   Set<Path> openFiles() throws IOException {
     Set<Path> files = new HashSet<>();
--- a/src/test/java/stonespring/daemon/PlatformProcessTest.java
+++ b/src/test/java/stonespring/daemon/PlatformProcessTest.java
@@ -1,6 +1,7 @@
 package stonespring.daemon;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static stonespring.daemon.PlatformFixture.endpoint;
@@ -25,6 +26,9 @@
  * descriptors, exit.
  */
 final class PlatformProcessTest {
+  private static final int FEWER_DESCRIPTORS_THAN_IN_USE = 3;
+  private static final int ENOUGH_DESCRIPTORS = 256;
+
   @RegisterExtension final PlatformFixture platform = new PlatformFixture();
 
   /**
@@ -102,6 +106,59 @@
     assertEquals("PONG", early.readLineAfterUpdates(), "a connected proxy stays connected");
   }
 
+  /**
+   * For 30 s the process can open no file and no socket. Meanwhile it gets a SIGHUP, a change of
+   * the endpoint list, an invalid message, and a proxy that connects again. Guards against classes
+   * and files that are first needed then.
+   */
+  @Test
+  void servesWithoutFreeDescriptorsAndCatchesUpAfterwards() throws Exception {
+    platform.writeConfig(platform.config());
+    PlatformProcess process = platform.startProcess();
+    LineClient early = platform.connect(process.awaitPort());
+    EndpointListRequest watch = platform.acceptListRequest(platform.discovery());
+    watch.beginWatch(endpointList(5, endpoint("s-1", "west"), endpoint("s-2", "east")));
+    early.send("SUBSCRIBE id=1 site=west rps=3.0 new=1");
+    assertNotNull(early.readLine());
+    LineClient broken = platform.connect(process.awaitPort());
+    broken.send("SUBSCRIBE id=2 site=west rps=3.0 new=1");
+    assertNotNull(broken.readLine());
+
+    process.limitDescriptors(FEWER_DESCRIPTORS_THAN_IN_USE);
+    long heldUntilNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+    ServerSocket moved = platform.listen();
+    platform.writeConfig(platform.config(moved));
+    process.sendSighup();
+    broken.send("JUNK a=1");
+    broken.readRest();
+    LineClient rejoining = platform.connect(early.port()); // waits in the accept queue
+    rejoining.send("SUBSCRIBE id=2 site=west rps=3.0 new=0");
+    watch.continueWatch(endpointList(6, endpoint("s-1", "west"), endpoint("s-3", "east")));
+    assertTrue(early.readLine().contains("s-3"), "the new endpoint is in a route table");
+    process.awaitLog("Too many open files");
+    while (System.nanoTime() < heldUntilNanos) {
+      early.send("RATE id=1 lane=look count=3 fail=0 over=1000.0");
+      early.send("PING");
+      assertEquals("PONG", early.readLineAfterUpdates(), "a connected proxy stays connected");
+      watch.continueWatch("");
+      Thread.sleep(500);
+    }
+
+    process.limitDescriptors(ENOUGH_DESCRIPTORS);
+    assertEquals(
+        "/registry/instances?stream=1&index=6",
+        platform.acceptListRequest(moved).target(),
+        "the reload is carried out");
+    assertNotNull(rejoining.readLine(), "the waiting proxy is accepted");
+    early.send("PING");
+    assertEquals("PONG", early.readLineAfterUpdates());
+    process.limitDescriptors(FEWER_DESCRIPTORS_THAN_IN_USE);
+    assertTrue(
+        process.measureTerminationNanos() < TimeUnit.SECONDS.toNanos(5),
+        "the process ends within 5 s");
+    assertFalse(process.log().contains("ERROR"), process.log());
+  }
+
   /**
    * Guards against a class that is read from its file, or an archive that is opened, only after the
    * descriptors have run out.
