--- a/src/main/java/stonespring/cli/PlatformCommand.java
+++ b/src/main/java/stonespring/cli/PlatformCommand.java
@@ -37,18 +37,19 @@
     ConfigReloader reloader = new ConfigReloader(configFile);
     SignalHandler previousHandler = Signal.handle(new Signal("HUP"), signal -> reloader.reload());
     logging.apply();
+    if (configFile == null || configFile.toString().isEmpty()) {
+      throw CommandFailedException.usage(
+          "assigner: expected a configuration file as argument FILE or in NODE_CONFIG, found neither");
+    }
+    PlatformConfig config = readConfig();
     if (previousHandler == SignalHandler.SIG_IGN) {
       // The parent process, for example nohup, ignores SIGHUP; the JVM then calls no handler.
       LOG.warn(
           "SIGHUP is ignored, as inherited from the parent process: a changed configuration is read only"
               + " after a fetch of the endpoint list fails");
     }
-    if (configFile == null || configFile.toString().isEmpty()) {
-      throw CommandFailedException.usage(
-          "assigner: expected a configuration file as argument FILE or in NODE_CONFIG, found neither");
-    }
     ClassPreloader.preload();
-    PlatformDaemon daemon = new PlatformDaemon(readConfig());
+    PlatformDaemon daemon = new PlatformDaemon(config);
     daemon.start();
     reloader.attach(daemon);
     return ForegroundProcess.runUntilStopped("assigner", daemon);
--- a/src/test/java/stonespring/daemon/PlatformProcess.java
+++ b/src/test/java/stonespring/daemon/PlatformProcess.java
@@ -42,8 +42,11 @@
   private static PlatformProcess start(List<String> command, Path folder, Path configFile)
       throws IOException {
     Path logFile = folder.resolve("log");
+    // As in the deployment's command: the tests themselves may run with SIGHUP ignored.
+    List<String> launched = new ArrayList<>(List.of("env", "--default-signal=HUP"));
+    launched.addAll(command);
     ProcessBuilder builder =
-        new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(logFile.toFile());
+        new ProcessBuilder(launched).redirectErrorStream(true).redirectOutput(logFile.toFile());
     builder.environment().put("NODE_CONFIG", configFile.toString());
     return new PlatformProcess(builder.start(), logFile);
   }
