All listeners log a failed accept once; serve counts the descriptors that it really has

What users saw: serve, proxy, registry and task without a free descriptor log a stack trace of 21 lines each second for each listener.

Cause: Netty's own handling of a failed accept, as on the platform's listener before.

Fix: AcceptGate moves to the package that the transports share, and the listeners of zmtp and http have it. serve bounds the connections of each listener by the descriptors of the process, if the settings allow more.

--- a/src/main/java/stonespring/chp/ChpServer.java
+++ b/src/main/java/stonespring/chp/ChpServer.java
@@ -26,6 +26,9 @@
  * A {@link ChpBackend} handles the messages of clients.
  */
 public final class ChpServer {
+  /** Number of listening sockets: snapshots, updates and the collector. */
+  public static final int LISTENER_COUNT = 3;
+
   /** RFC 12 specifies a heartbeat about once a second. */
   private static final long HEARTBEAT_INTERVAL_MILLIS = 1_000;
 
--- a/src/main/java/stonespring/daemon/ChpDaemon.java
+++ b/src/main/java/stonespring/daemon/ChpDaemon.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -40,6 +41,9 @@
    */
   private static final long STOP_TIMEOUT_MILLIS = 2_000;
 
+  /** Descriptors for archives, the endpoint list, files and the log; connections never use them. */
+  private static final int RESERVED_DESCRIPTORS = 64;
+
   /** Sequence numbers reserved for each millisecond of a run, in bits: about a million updates. */
   private static final int SEQUENCE_BITS_PER_MILLI = 20;
 
@@ -80,7 +84,17 @@
         limits.pendingBytes(),
         defaults.maxSubscriptions(),
         defaults.handshakeTimeoutMillis(),
-        limits.connections());
+        Math.min(limits.connections(), descriptorsPerListener()));
+  }
+
+  /** Returns the number of connections for which each of the three listeners has descriptors. */
+  private static int descriptorsPerListener() {
+    OptionalInt descriptorLimit = DescriptorLimit.ofThisProcess();
+    if (descriptorLimit.isEmpty()) {
+      return Integer.MAX_VALUE;
+    }
+    int available = descriptorLimit.getAsInt() - RESERVED_DESCRIPTORS;
+    return Math.max(1, available / ChpServer.LISTENER_COUNT);
   }
 
   private static EndpointSource createSource(
--- a/src/main/java/stonespring/http/HttpServer.java
+++ b/src/main/java/stonespring/http/HttpServer.java
@@ -13,6 +13,7 @@
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import stonespring.netty.AcceptGate;
 
 /**
  * An HTTP/1.1 server. The requests of a connection are handled one at a time, in order, on the
@@ -70,6 +71,7 @@
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_REUSEADDR, true)
             .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
+            .handler(new AcceptGate())
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(
                 new ChannelInitializer<SocketChannel>() {
--- a/src/main/java/stonespring/line/ConnectionLimit.java
+++ b/src/main/java/stonespring/line/ConnectionLimit.java
@@ -2,6 +2,7 @@
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import stonespring.netty.EpisodeLog;
 
 /**
  * Counts the open connections of a listener, so that the process keeps file descriptors for other
--- a/src/main/java/stonespring/line/LineServer.java
+++ b/src/main/java/stonespring/line/LineServer.java
@@ -10,6 +10,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
+import stonespring.netty.AcceptGate;
 
 /** A server for the line protocol. All of its connections run on one event loop. */
 public final class LineServer {
--- a/src/main/java/stonespring/line/PendingHandshakes.java
+++ b/src/main/java/stonespring/line/PendingHandshakes.java
@@ -8,6 +8,8 @@
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import stonespring.netty.AcceptGate;
+import stonespring.netty.EpisodeLog;
 
 /**
  * The connections of a listener whose handshake is incomplete. When their number reaches the limit,
--- a/src/main/java/stonespring/line/AcceptGate.java
+++ b/src/main/java/stonespring/netty/AcceptGate.java
@@ -1,4 +1,4 @@
-package stonespring.line;
+package stonespring.netty;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -14,9 +14,9 @@
  * while any reason for it remains. If the operating system refuses to accept a connection, the
  * listener retries after a delay. State is confined to the listener's event loop.
  */
-final class AcceptGate extends ChannelInboundHandlerAdapter {
+public final class AcceptGate extends ChannelInboundHandlerAdapter {
   /** Reasons for which accepting pauses. */
-  enum PauseReason {
+  public enum PauseReason {
     /** As many handshakes as allowed are incomplete. */
     PENDING_HANDSHAKES,
 
@@ -36,12 +36,14 @@
     listener = ctx.channel();
   }
 
-  void pause(PauseReason reason) {
+  /** Stops accepting connections until the reason no longer applies. */
+  public void pause(PauseReason reason) {
     pauseReasons.add(reason);
     listener.config().setAutoRead(false);
   }
 
-  void resume(PauseReason reason) {
+  /** Ends a reason for a pause; accepting resumes if no other reason remains. */
+  public void resume(PauseReason reason) {
     pauseReasons.remove(reason);
     listener.config().setAutoRead(pauseReasons.isEmpty());
   }
--- a/src/main/java/stonespring/line/EpisodeLog.java
+++ b/src/main/java/stonespring/netty/EpisodeLog.java
@@ -1,4 +1,4 @@
-package stonespring.line;
+package stonespring.netty;
 
 import java.util.concurrent.TimeUnit;
 
@@ -6,14 +6,14 @@
  * Decides which occurrences of a condition are logged: the first one of each episode. An episode
  * ends when the condition has not occurred for {@link #QUIET_SECONDS}. Not thread-safe.
  */
-final class EpisodeLog {
+public final class EpisodeLog {
   private static final long QUIET_SECONDS = 10;
 
   private boolean occurred;
   private long lastOccurrenceNanos;
 
   /** Records an occurrence and returns whether it is to be logged. */
-  boolean shouldLog() {
+  public boolean shouldLog() {
     long now = System.nanoTime();
     boolean first =
         !occurred || now - lastOccurrenceNanos > TimeUnit.SECONDS.toNanos(QUIET_SECONDS);
--- a/src/main/java/stonespring/zmtp/ZmtpSockets.java
+++ b/src/main/java/stonespring/zmtp/ZmtpSockets.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import stonespring.netty.AcceptGate;
 
 /** Opens listening sockets and outbound connections. Thread-safe. */
 public final class ZmtpSockets {
@@ -46,6 +47,7 @@
         .channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
+        .handler(new AcceptGate())
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childHandler(new AcceptedConnectionInitializer(type, limits, listener))
         .bind(address);
