Soak test of planned and unplanned ends, on real sockets with the deployed command

SIGKILL follows 0.7 s after the first SIGTERM. 8 to 32 proxies at that one instance keep their connections, reports, marks and keep-alives, whole and in pieces, until the process has ended. In between: changes of the list, series of reloads with invalid files, moves, resets and failures of discovery, crowds of 300 that never join, bad first messages, spoilt and replaced connections, a proxy that does not read, all proxies connecting again.

Not played: SIGTERM during a restart of the engine, several instances, CHP.

--- a/src/main/java/stonespring/cli/Commands.java
+++ b/src/main/java/stonespring/cli/Commands.java
@@ -17,6 +17,7 @@
       CheckCommand.class,
       SnapshotCommand.class,
       ScenarioCommand.class,
+      SoakCommand.class,
       EndpointCommand.class,
       ProxyCommand.class,
       RegistryCommand.class,
--- a/src/main/java/stonespring/testbed/FreePorts.java
+++ b/src/main/java/stonespring/testbed/FreePorts.java
@@ -13,7 +13,7 @@
  * of ports by listening at the block's first port, so that two processes never use the same one.
  * Each port is handed out once. Thread-safe.
  */
-final class FreePorts {
+public final class FreePorts {
   private static final int FIRST_PORT = 11_000;
   private static final int PORTS_PER_BLOCK = 250;
   private static final int BLOCK_COUNT = 80;
@@ -31,7 +31,7 @@
    *
    * @throws IOException if no block is left, or a block is too small for {@code count} ports
    */
-  static synchronized int take(int count) throws IOException {
+  public static synchronized int take(int count) throws IOException {
     while (true) {
       int freeCount = 0;
       while (freeCount < count
