Recordings from before the setting of unknown tables are read again

What users saw: solve, load and compare refuse all eight files in examples/recordings with "Cannot map null into type boolean".

Cause: the field holdingsUnknown was added to version 1 of the format, and RecordingReader demands it of every file.

Fix: a head without the field gets the value that held when it was written, false: instances knew the tables of every proxy. What is written stays the same, byte for byte.

Tests: readsRecordingFromBeforeTheSettingOfUnknownTables, with such a file kept as a fixture, and readsEveryExampleRecording; both failed before with the message above. solve reads all eight files.

--- a/src/main/java/stonespring/recording/RecordingReader.java
+++ b/src/main/java/stonespring/recording/RecordingReader.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.nio.file.Path;
@@ -31,6 +32,9 @@
 
   private static final double MAX_REQUESTS_PER_SECOND = 1e9;
 
+  /** Field of {@link StoredSettings} that was added to version 1. */
+  private static final String PROXY_TABLES_UNKNOWN = "holdingsUnknown";
+
   private final ObjectMapper mapper;
   private final ReadPosition position;
 
@@ -86,8 +90,10 @@
   private Recording.Head readHead(String line) throws InvalidRecordingException {
     Recording.Head head;
     try {
-      checkVersion(mapper.readTree(line).path("version").asInt(-1));
-      head = mapper.readValue(line, StoredHead.class).toHead();
+      JsonNode stored = mapper.readTree(line);
+      checkVersion(stored.path("version").asInt(-1));
+      addFieldsOfLaterWriters(stored.path("settings"));
+      head = mapper.treeToValue(stored, StoredHead.class).toHead();
     } catch (JsonProcessingException e) {
       throw position.error(
           "head: " + e.getOriginalMessage().lines().findFirst().orElse("expected a JSON object"));
@@ -98,6 +104,16 @@
     return head;
   }
 
+  /**
+   * Adds the fields that older files of this version lack, with the value that held when they were
+   * written: instances knew the tables of every proxy.
+   */
+  private static void addFieldsOfLaterWriters(JsonNode settings) {
+    if (settings instanceof ObjectNode object && !object.has(PROXY_TABLES_UNKNOWN)) {
+      object.put(PROXY_TABLES_UNKNOWN, false);
+    }
+  }
+
   private void checkVersion(int version) throws InvalidRecordingException {
     position.check(
         version >= 0, "version: expected " + Recording.VERSION + ", found no version number");
--- a/src/test/java/stonespring/recorded/StoredDataTest.java
+++ b/src/test/java/stonespring/recorded/StoredDataTest.java
@@ -2,11 +2,13 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.stream.Stream;
 import java.util.zip.GZIPInputStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -119,6 +121,28 @@
     assertArrayEquals(decompress(stored), decompress(rewritten));
   }
 
+  /** Files of version 1 that were written before a setting was added lack its field. */
+  @Test
+  void readsRecordingFromBeforeTheSettingOfUnknownTables() throws IOException {
+    Recording recording = RecordingFile.read(STORED_DATA.resolve("load-before-0.2.0.rec.gz"));
+    assertEquals(
+        "1 3 (0 5000 3.0)(1 8000 3.0)(2 6000 2.0) false 1 2900 10 30 100000 2900.0 50000 5 24 10000 false 0.12 80000 0.2"
+            + " 3.0 0.3 false 3 false",
+        describeValues(recording.head().settings()));
+    assertEquals(24, recording.head().proxies().size());
+  }
+
+  @Test
+  void readsEveryExampleRecording() throws IOException {
+    try (Stream<Path> files = Files.list(Path.of("examples/recordings"))) {
+      List<Path> recordings = files.filter(file -> file.toString().endsWith(".rec.gz")).toList();
+      assertEquals(8, recordings.size());
+      for (Path file : recordings) {
+        assertFalse(RecordingFile.read(file).samples().isEmpty(), file.toString());
+      }
+    }
+  }
+
   @Test
   void readsSettingsScript() throws Exception {
     InstanceSettings settings = InstanceSettings.read(STORED_DATA.resolve("settings.star"));
