Settings scripts end every hostile input in an error with its line

What users saw, with check of under 64 MB and 512 KB of stack: "[1, 2] *" and a range over nearly all numbers end in OutOfMemoryError, "[] *" never ends, a chain of 100,000 operators and str of a function that can reach itself end in StackOverflowError, float('NaN') is accepted, and after a backslash at a line's end an error has a line break in its text and later lines count one too low.

Causes: sizes were multiplied and subtracted without a check of the range; sizes were limited one by one, not in all; equality, hash and text of nested values were those of Java's collections, which visit shared parts again and again; the evaluator recurses for each operator of a chain.

Literals end before a line end.

Not bounded: the time of comprehensions in a file with very many names.

--- a/src/main/java/stonespring/config/script/BuiltinFunctions.java
+++ b/src/main/java/stonespring/config/script/BuiltinFunctions.java
@@ -22,6 +22,9 @@
           "get",
           "zip");
 
+  /** The smallest magnitude of a double that does not fit into 64 bits. */
+  private static final double TWO_TO_THE_63 = 0x1p63;
+
   private BuiltinFunctions() {}
 
   static Set<String> names() {
@@ -32,9 +35,10 @@
    * Calls a built-in function. Too few arguments or arguments of a wrong type are reported as an
    * error of the call.
    */
-  static Object call(SourceLocation location, String name, List<Object> arguments) {
+  static Object call(
+      ExecutionLimits limits, SourceLocation location, String name, List<Object> arguments) {
     try {
-      return callUnchecked(location, name, arguments);
+      return callUnchecked(limits, location, name, arguments);
     } catch (IndexOutOfBoundsException
         | ClassCastException
         | NullPointerException
@@ -45,22 +49,22 @@
   }
 
   private static Object callUnchecked(
-      SourceLocation location, String name, List<Object> arguments) {
+      ExecutionLimits limits, SourceLocation location, String name, List<Object> arguments) {
     return switch (name) {
       case "len" -> length(location, arguments.get(0));
-      case "range" -> range(location, arguments);
-      case "str" -> toText(arguments.get(0));
-      case "int" -> toLong(arguments.get(0));
-      case "float" -> toDouble(arguments.get(0));
-      case "abs" -> absolute(arguments.get(0));
+      case "range" -> range(limits, location, arguments);
+      case "str" -> new TextWriter(limits, location).write(arguments.get(0));
+      case "int" -> toLong(location, arguments.get(0));
+      case "float" -> toDouble(location, arguments.get(0));
+      case "abs" -> absolute(location, arguments.get(0));
       case "min" -> minimum(location, candidates(location, arguments));
       case "max" -> maximum(location, candidates(location, arguments));
-      case "sorted" -> sorted(location, arguments.get(0));
-      case "list" -> listOf(Values.items(location, arguments.get(0)));
-      case "enumerate" -> enumerate(location, arguments.get(0));
-      case "zip" -> zip(location, arguments);
+      case "sorted" -> sorted(limits, location, arguments.get(0));
+      case "list" -> listOf(limits, location, Values.items(location, arguments.get(0)));
+      case "enumerate" -> enumerate(limits, location, arguments.get(0));
+      case "zip" -> zip(limits, location, arguments);
       case "get" -> get(arguments);
-      case "fail" -> throw failure(location, arguments);
+      case "fail" -> throw failure(limits, location, arguments);
       default -> throw new IllegalStateException("unknown built-in function " + name);
     };
   }
@@ -69,36 +73,46 @@
     return value instanceof String text ? text.length() : Values.items(location, value).size();
   }
 
-  private static ScriptList range(SourceLocation location, List<Object> arguments) {
+  private static ScriptList range(
+      ExecutionLimits limits, SourceLocation location, List<Object> arguments) {
     long from = arguments.size() > 1 ? (Long) arguments.get(0) : 0;
     long to = (Long) arguments.get(arguments.size() > 1 ? 1 : 0);
     long step = arguments.size() > 2 ? (Long) arguments.get(2) : 1;
-    ExecutionLimits.checkRange(location, from, to, step);
+    int count = limits.countRange(location, from, to, step);
     ScriptList list = new ScriptList();
-    for (long i = from; step > 0 ? i < to : i > to; i += step) {
-      list.add(i);
+    for (int i = 0; i < count; i++) {
+      list.add(from + i * step);
     }
     return list;
   }
 
-  private static String toText(Object value) {
-    return value instanceof Double number ? Values.formatNumber(number) : String.valueOf(value);
-  }
-
-  private static Long toLong(Object value) {
-    return value instanceof String text ? Long.valueOf(text) : (Long) ((Number) value).longValue();
+  private static Long toLong(SourceLocation location, Object value) {
+    if (value instanceof String text) {
+      return Long.valueOf(text);
+    }
+    if (value instanceof Double number && Math.abs(number) >= TWO_TO_THE_63) {
+      throw new EvaluationException(location, "int: the number does not fit into 64 bits");
+    }
+    return ((Number) value).longValue();
   }
 
-  private static Double toDouble(Object value) {
-    return value instanceof String text
-        ? Double.valueOf(text)
-        : (Double) ((Number) value).doubleValue();
+  private static Double toDouble(SourceLocation location, Object value) {
+    double number =
+        value instanceof String text ? Double.parseDouble(text) : ((Number) value).doubleValue();
+    if (Double.isNaN(number) || Double.isInfinite(number)) {
+      throw new EvaluationException(location, "float: expected a finite number");
+    }
+    return number;
   }
 
-  private static Object absolute(Object value) {
-    return value instanceof Long number
-        ? (Object) Math.abs(number)
-        : (Object) Math.abs((Double) value);
+  private static Object absolute(SourceLocation location, Object value) {
+    if (!(value instanceof Long number)) {
+      return Math.abs((Double) value);
+    }
+    if (number == Long.MIN_VALUE) {
+      throw new EvaluationException(location, "abs: the result does not fit into 64 bits");
+    }
+    return Math.abs(number);
   }
 
   /**
@@ -125,38 +139,47 @@
     return best;
   }
 
-  private static ScriptList sorted(SourceLocation location, Object value) {
-    ScriptList sorted = listOf(Values.items(location, value));
+  private static ScriptList sorted(ExecutionLimits limits, SourceLocation location, Object value) {
+    ScriptList sorted = listOf(limits, location, Values.items(location, value));
     sorted.sort((left, right) -> Values.compare(location, left, right));
     return sorted;
   }
 
-  private static ScriptList listOf(List<Object> items) {
+  private static ScriptList listOf(
+      ExecutionLimits limits, SourceLocation location, List<Object> items) {
+    limits.countList(location, items.size());
     ScriptList list = new ScriptList();
     list.addAll(items);
     return list;
   }
 
-  private static ScriptList enumerate(SourceLocation location, Object value) {
+  private static ScriptList enumerate(
+      ExecutionLimits limits, SourceLocation location, Object value) {
     List<Object> items = Values.items(location, value);
+    limits.countList(location, items.size());
     ScriptList pairs = new ScriptList();
     for (int i = 0; i < items.size(); i++) {
-      pairs.add(pair((long) i, items.get(i)));
+      pairs.add(pair(limits, location, (long) i, items.get(i)));
     }
     return pairs;
   }
 
-  private static ScriptList zip(SourceLocation location, List<Object> arguments) {
+  private static ScriptList zip(
+      ExecutionLimits limits, SourceLocation location, List<Object> arguments) {
     List<Object> first = Values.items(location, arguments.get(0));
     List<Object> second = Values.items(location, arguments.get(1));
+    int size = Math.min(first.size(), second.size());
+    limits.countList(location, size);
     ScriptList pairs = new ScriptList();
-    for (int i = 0; i < Math.min(first.size(), second.size()); i++) {
-      pairs.add(pair(first.get(i), second.get(i)));
+    for (int i = 0; i < size; i++) {
+      pairs.add(pair(limits, location, first.get(i), second.get(i)));
     }
     return pairs;
   }
 
-  private static ScriptList pair(Object first, Object second) {
+  private static ScriptList pair(
+      ExecutionLimits limits, SourceLocation location, Object first, Object second) {
+    limits.countList(location, 2);
     ScriptList pair = new ScriptList();
     pair.add(first);
     pair.add(second);
@@ -165,11 +188,15 @@
 
   private static Object get(List<Object> arguments) {
     Object defaultValue = arguments.size() > 2 ? arguments.get(2) : null;
-    return ((ScriptDict) arguments.get(0)).getOrDefault(arguments.get(1), defaultValue);
+    ScriptDict dict = (ScriptDict) arguments.get(0);
+    Object key = arguments.get(1);
+    return Values.canBeKey(key) ? dict.getOrDefault(key, defaultValue) : defaultValue;
   }
 
-  private static EvaluationException failure(SourceLocation location, List<Object> arguments) {
+  private static EvaluationException failure(
+      ExecutionLimits limits, SourceLocation location, List<Object> arguments) {
     Object message = arguments.isEmpty() ? "" : arguments.get(0);
-    return new EvaluationException(location, "fail: " + message);
+    return new EvaluationException(
+        location, "fail: " + new TextWriter(limits, location).write(message));
   }
 }
--- a/src/main/java/stonespring/config/script/ExpressionEvaluator.java
+++ b/src/main/java/stonespring/config/script/ExpressionEvaluator.java
@@ -114,14 +114,15 @@
     };
   }
 
-  private static Object applyBinary(Expression.Binary binary, Object left, Object right) {
+  private Object applyBinary(Expression.Binary binary, Object left, Object right) {
     return switch (binary.operator()) {
       case AND, OR -> right;
-      default -> Operators.applyBinary(binary.location(), binary.operator(), left, right);
+      default -> Operators.applyBinary(limits, binary.location(), binary.operator(), left, right);
     };
   }
 
   private ScriptList evaluateList(Expression.ListDisplay display, Scope scope) {
+    limits.countList(display.location(), display.items().size());
     ScriptList list = new ScriptList();
     for (Expression item : display.items()) {
       list.append(evaluate(item, scope), item.location());
@@ -130,6 +131,7 @@
   }
 
   private ScriptDict evaluateDict(Expression.DictDisplay display, Scope scope) {
+    limits.countDict(display.location(), display.entries().size());
     ScriptDict dict = new ScriptDict();
     for (Expression.DictEntry entry : display.entries()) {
       Object key = Values.requireKey(entry.location(), evaluate(entry.key(), scope));
@@ -142,6 +144,7 @@
   }
 
   private Object evaluateComprehension(Expression.Comprehension comprehension, Scope scope) {
+    limits.countList(comprehension.location(), 0);
     Object result = comprehension.key() == null ? new ScriptList() : new ScriptDict();
     runClauses(comprehension, 0, scope.nested(), result);
     return result;
@@ -175,14 +178,14 @@
   private void addItem(Expression.Comprehension comprehension, Scope scope, ScriptList list) {
     Expression value = comprehension.value();
     list.append(evaluate(value, scope), value.location());
-    ExecutionLimits.checkSize(comprehension.location(), list.size());
+    limits.countAppended(comprehension.location(), list.size());
   }
 
   private void addEntry(Expression.Comprehension comprehension, Scope scope, ScriptDict dict) {
     SourceLocation location = comprehension.location();
     Object key = Values.requireKey(location, evaluate(comprehension.key(), scope));
     dict.put(key, evaluate(comprehension.value(), scope), location);
-    ExecutionLimits.checkSize(location, dict.size());
+    limits.countEntry(location, dict.size());
   }
 
   private Object evaluateCall(Expression.Call call, Scope scope) {
--- a/src/main/java/stonespring/config/script/FunctionCaller.java
+++ b/src/main/java/stonespring/config/script/FunctionCaller.java
@@ -11,6 +11,7 @@
   private static final int MAX_CALL_DEPTH = 32;
 
   private final StatementExecutor executor;
+  private final ExecutionLimits limits;
 
   /**
    * The functions being called, outermost first, each as its name and the location of its
@@ -18,8 +19,9 @@
    */
   private final List<String> activeCalls = new ArrayList<>();
 
-  FunctionCaller(StatementExecutor executor) {
+  FunctionCaller(StatementExecutor executor, ExecutionLimits limits) {
     this.executor = executor;
+    this.limits = limits;
   }
 
   /**
@@ -36,7 +38,7 @@
       if (!named.isEmpty()) {
         throw new EvaluationException(location, builtin.name() + " takes no named arguments");
       }
-      return BuiltinFunctions.call(location, builtin.name(), positional);
+      return BuiltinFunctions.call(limits, location, builtin.name(), positional);
     }
     if (!(function instanceof UserFunction userFunction)) {
       throw new EvaluationException(
--- a/src/main/java/stonespring/config/script/Lexer.java
+++ b/src/main/java/stonespring/config/script/Lexer.java
@@ -277,7 +277,7 @@
     StringBuilder contents = new StringBuilder();
     source.advance();
     while (!source.atEnd() && source.peek() != quote && source.peek() != '\n') {
-      if (source.peek() == '\\' && source.hasSecond()) {
+      if (source.peek() == '\\' && source.hasSecond() && source.peekSecond() != '\n') {
         source.advance();
         readEscape(contents);
       } else {
--- a/src/main/java/stonespring/config/script/Operators.java
+++ b/src/main/java/stonespring/config/script/Operators.java
@@ -22,7 +22,10 @@
     if (expression.operator() == UnaryOperator.PLUS) {
       return operand;
     }
-    return operand instanceof Long number ? (Object) (-number) : (Object) (-(Double) operand);
+    if (!(operand instanceof Long number)) {
+      return -(Double) operand;
+    }
+    return applyToLongs(expression.location(), BinaryOperator.SUBTRACT, 0, number);
   }
 
   /**
@@ -30,12 +33,16 @@
    * ExpressionEvaluator}, since they need not evaluate the right operand.
    */
   static Object applyBinary(
-      SourceLocation location, BinaryOperator operator, Object left, Object right) {
+      ExecutionLimits limits,
+      SourceLocation location,
+      BinaryOperator operator,
+      Object left,
+      Object right) {
     return switch (operator) {
-      case EQUAL -> Values.areEqual(left, right);
-      case NOT_EQUAL -> !Values.areEqual(left, right);
-      case IN -> contains(location, right, left);
-      case NOT_IN -> !contains(location, right, left);
+      case EQUAL -> Values.areEqual(limits, location, left, right);
+      case NOT_EQUAL -> !Values.areEqual(limits, location, left, right);
+      case IN -> contains(limits, location, right, left);
+      case NOT_IN -> !contains(limits, location, right, left);
       case LESS -> Values.compare(location, left, right) < 0;
       case GREATER -> Values.compare(location, left, right) > 0;
       case LESS_OR_EQUAL -> Values.compare(location, left, right) <= 0;
@@ -43,19 +50,20 @@
       default ->
           left instanceof Number leftNumber && right instanceof Number rightNumber
               ? applyArithmetic(location, operator, leftNumber, rightNumber)
-              : combine(location, operator, left, right);
+              : combine(limits, location, operator, left, right);
     };
   }
 
-  private static boolean contains(SourceLocation location, Object container, Object item) {
+  private static boolean contains(
+      ExecutionLimits limits, SourceLocation location, Object container, Object item) {
     if (container instanceof ScriptDict dict) {
-      return dict.containsKey(item);
+      return Values.canBeKey(item) && dict.containsKey(item);
     }
     if (container instanceof String text && item instanceof String part) {
       return text.contains(part);
     }
     for (Object candidate : Values.items(location, container)) {
-      if (Values.areEqual(candidate, item)) {
+      if (Values.areEqual(limits, location, candidate, item)) {
         return true;
       }
     }
@@ -64,26 +72,29 @@
 
   /** Concatenates strings or lists, merges dicts, or repeats a list. */
   private static Object combine(
-      SourceLocation location, BinaryOperator operator, Object left, Object right) {
+      ExecutionLimits limits,
+      SourceLocation location,
+      BinaryOperator operator,
+      Object left,
+      Object right) {
     if (operator == BinaryOperator.ADD) {
       if (left instanceof String first && right instanceof String second) {
-        ExecutionLimits.checkSize(location, first.length() + second.length());
+        limits.countText(location, (long) first.length() + second.length());
         return first + second;
       }
       if (left instanceof ScriptList first && right instanceof ScriptList second) {
-        ExecutionLimits.checkSize(location, first.size() + second.size());
+        limits.countList(location, (long) first.size() + second.size());
         return ScriptList.concatenation(first, second, location);
       }
       if (left instanceof ScriptDict first && right instanceof ScriptDict second) {
-        ScriptDict union = ScriptDict.union(first, second);
-        ExecutionLimits.checkSize(location, union.size());
-        return union;
+        limits.countDict(location, (long) first.size() + second.size());
+        return ScriptDict.union(first, second);
       }
     }
     if (operator == BinaryOperator.MULTIPLY
         && left instanceof ScriptList list
         && right instanceof Long times) {
-      return repeat(location, list, times);
+      return repeat(limits, location, list, times);
     }
     throw new EvaluationException(
         location,
@@ -95,10 +106,14 @@
             + Values.typeName(right));
   }
 
-  private static ScriptList repeat(SourceLocation location, ScriptList list, long times) {
-    long size = Math.max(0, times) * list.size();
-    ExecutionLimits.checkSize(location, (int) Math.min(Integer.MAX_VALUE, size));
+  private static ScriptList repeat(
+      ExecutionLimits limits, SourceLocation location, ScriptList list, long times) {
     ScriptList repeated = new ScriptList();
+    if (list.isEmpty() || times <= 0) {
+      return repeated;
+    }
+    long size = times > Long.MAX_VALUE / list.size() ? Long.MAX_VALUE : times * list.size();
+    limits.countList(location, size);
     for (long i = 0; i < times; i++) {
       repeated.addAll(list);
     }
@@ -129,7 +144,7 @@
         case ADD -> Math.addExact(left, right);
         case SUBTRACT -> Math.subtractExact(left, right);
         case MULTIPLY -> Math.multiplyExact(left, right);
-        case FLOOR_DIVIDE -> Math.floorDiv(left, right);
+        case FLOOR_DIVIDE -> floorDivideExact(left, right);
         default -> Math.floorMod(left, right);
       };
     } catch (ArithmeticException e) {
@@ -137,6 +152,11 @@
     }
   }
 
+  private static long floorDivideExact(long left, long right) {
+    // The one quotient that 64 bits can't hold.
+    return right == -1 ? Math.negateExact(left) : Math.floorDiv(left, right);
+  }
+
   private static double applyToDoubles(
       SourceLocation location, BinaryOperator operator, double left, double right) {
     double result =
--- a/src/main/java/stonespring/config/script/Script.java
+++ b/src/main/java/stonespring/config/script/Script.java
@@ -18,19 +18,26 @@
    *     execution
    */
   public static ScriptDict run(Path file) throws ScriptException {
-    ScriptLoader loader = new ScriptLoader();
     SourceLocation startOfFile = new SourceLocation(file.toString(), 1, 1);
+    ScriptLoader loader = new ScriptLoader(startOfFile);
     ScriptDict exported = new ScriptDict();
     List<SettingsError> errors = new ArrayList<>();
     try {
       for (Map.Entry<String, Object> global : loader.load(file, startOfFile).entrySet()) {
         String name = global.getKey();
         if (!name.startsWith("_") && !(global.getValue() instanceof UserFunction)) {
-          exported.put(name, global.getValue(), loader.locationOf(name, startOfFile));
+          SourceLocation location = loader.locationOf(name, startOfFile);
+          new ValueSizeChecker(location).check(global.getValue());
+          exported.put(name, global.getValue(), location);
         }
       }
     } catch (EvaluationException e) {
       errors.add(e.error());
+    } catch (StackOverflowError e) {
+      // A chain of thousands of operators, or a comparison of values that contain themselves.
+      errors.add(
+          new SettingsError(
+              loader.lastLocation(), "an expression or a value is nested too deeply"));
     }
     errors.addAll(0, loader.errors());
     if (!errors.isEmpty()) {
--- a/src/main/java/stonespring/config/script/ScriptLoader.java
+++ b/src/main/java/stonespring/config/script/ScriptLoader.java
@@ -22,7 +22,14 @@
   private final List<SettingsError> errors = new ArrayList<>();
   private final Map<Path, Map<String, Object>> globalsByPath = new HashMap<>();
   private final Set<Path> loading = new HashSet<>();
-  private final StatementExecutor executor = new StatementExecutor(this);
+  private final ExecutionLimits limits;
+  private final StatementExecutor executor;
+
+  /** Creates a loader for the files of one script; {@code startOfFile} is its first location. */
+  ScriptLoader(SourceLocation startOfFile) {
+    this.limits = new ExecutionLimits(startOfFile);
+    this.executor = new StatementExecutor(this, limits);
+  }
 
   /**
    * Loads a file and returns its globals, in order of assignment.
@@ -75,6 +82,11 @@
     return new StatementParser(tokens, errors).parse();
   }
 
+  /** The location of the latest executed step. */
+  SourceLocation lastLocation() {
+    return limits.lastLocation();
+  }
+
   /** The lexical and syntax errors of all files. */
   List<SettingsError> errors() {
     return errors;
--- a/src/main/java/stonespring/config/script/StatementExecutor.java
+++ b/src/main/java/stonespring/config/script/StatementExecutor.java
@@ -16,14 +16,15 @@
   }
 
   private final ScriptLoader loader;
-  private final ExecutionLimits limits = new ExecutionLimits();
-  private final ExpressionEvaluator evaluator =
-      new ExpressionEvaluator(limits, new FunctionCaller(this));
+  private final ExecutionLimits limits;
+  private final ExpressionEvaluator evaluator;
   private final Map<String, SourceLocation> globalLocations = new HashMap<>();
   private Object returnValue;
 
-  StatementExecutor(ScriptLoader loader) {
+  StatementExecutor(ScriptLoader loader, ExecutionLimits limits) {
     this.loader = loader;
+    this.limits = limits;
+    this.evaluator = new ExpressionEvaluator(limits, new FunctionCaller(this, limits));
   }
 
   /**
@@ -145,7 +146,7 @@
     Object value = evaluator.evaluate(assign.value(), scope);
     if (assign.operator() != null) {
       Object previous = evaluator.evaluate(assign.target(), scope);
-      value = Operators.applyBinary(assign.location(), assign.operator(), previous, value);
+      value = Operators.applyBinary(limits, assign.location(), assign.operator(), previous, value);
     }
     if (assign.target() instanceof Expression.Name name) {
       assignName(assign.location(), name.name(), value, scope);
@@ -171,7 +172,7 @@
     Object index = evaluator.evaluate(entry.index(), scope);
     if (container instanceof ScriptDict dict) {
       dict.put(Values.requireKey(entry.location(), index), value, location);
-      ExecutionLimits.checkSize(location, dict.size());
+      limits.countEntry(location, dict.size());
     } else if (container instanceof ScriptList list) {
       list.set(Values.requirePosition(entry.location(), index, list.size()), value);
     } else {
--- a/src/main/java/stonespring/config/script/Values.java
+++ b/src/main/java/stonespring/config/script/Values.java
@@ -69,9 +69,14 @@
         location, "expected a list or a dict to iterate over, got " + typeName(value));
   }
 
+  /** Whether a value can be the key of a dict. */
+  static boolean canBeKey(Object value) {
+    return value instanceof String || value instanceof Long || value instanceof Boolean;
+  }
+
   /** Returns the value if it can be the key of a dict; fails otherwise. */
   static Object requireKey(SourceLocation location, Object value) {
-    if (!(value instanceof String || value instanceof Long || value instanceof Boolean)) {
+    if (!canBeKey(value)) {
       throw new EvaluationException(
           location,
           "a dict key must be a string, a whole number or a boolean, got " + typeName(value));
@@ -87,7 +92,10 @@
     if (!(index instanceof Long position) || position < -size || position >= size) {
       throw new EvaluationException(
           location,
-          "the index must be a whole number within the length of " + size + ", got " + index);
+          "the index must be a whole number within the length of "
+              + size
+              + ", got "
+              + describe(index));
     }
     return (int) (position < 0 ? position + size : position);
   }
@@ -95,8 +103,8 @@
   /** Returns an entry of a dict, an item of a list or a character of a string. */
   static Object elementAt(SourceLocation location, Object container, Object index) {
     if (container instanceof ScriptDict dict) {
-      if (!dict.containsKey(index)) {
-        throw new EvaluationException(location, "the dict has no key " + index);
+      if (!canBeKey(index) || !dict.containsKey(index)) {
+        throw new EvaluationException(location, "the dict has no key " + describe(index));
       }
       return dict.get(index);
     }
@@ -110,11 +118,45 @@
         location, "only a dict, list or string can be indexed, not " + typeName(container));
   }
 
-  /** Whether two values are equal; numbers are compared as doubles. */
-  static boolean areEqual(Object left, Object right) {
+  /** Describes a value in an error message: a number, text or boolean as such, others by type. */
+  private static String describe(Object value) {
+    boolean isPlain = value == null || value instanceof Number || canBeKey(value);
+    return isPlain ? String.valueOf(value) : typeName(value);
+  }
+
+  /** Whether two values are equal; numbers outside of lists and dicts are compared as doubles. */
+  static boolean areEqual(
+      ExecutionLimits limits, SourceLocation location, Object left, Object right) {
     return left instanceof Number leftNumber && right instanceof Number rightNumber
         ? leftNumber.doubleValue() == rightNumber.doubleValue()
-        : Objects.equals(left, right);
+        : areItemsEqual(limits, location, left, right);
+  }
+
+  /** Compares values of any depth, and counts a step for each pair of items. */
+  private static boolean areItemsEqual(
+      ExecutionLimits limits, SourceLocation location, Object left, Object right) {
+    limits.countStep(location);
+    if (left instanceof ScriptList leftList && right instanceof ScriptList rightList) {
+      boolean equal = leftList.size() == rightList.size();
+      for (int i = 0; equal && i < leftList.size(); i++) {
+        equal = areItemsEqual(limits, location, leftList.get(i), rightList.get(i));
+      }
+      return equal;
+    }
+    if (left instanceof ScriptDict leftDict && right instanceof ScriptDict rightDict) {
+      boolean equal = leftDict.keySet().equals(rightDict.keySet());
+      for (Map.Entry<Object, Object> entry : leftDict.entrySet()) {
+        equal =
+            equal
+                && areItemsEqual(limits, location, entry.getValue(), rightDict.get(entry.getKey()));
+      }
+      return equal;
+    }
+    return left == right || isScalar(left) && Objects.equals(left, right);
+  }
+
+  private static boolean isScalar(Object value) {
+    return value instanceof Number || canBeKey(value);
   }
 
   /** Compares two numbers or two strings as {@link Comparable} does; fails for other types. */
