A second move of discovery is followed although the old watch has ended

What callers saw: nothing yet; found by reading. Discovery moves, the old watch ends before the new address has answered, and discovery moves again: the endpoint list is never asked for any more, and drained endpoints stay in route tables for good.

Cause: PlatformEndpointSource.changeAddress cancels the pending watch of the second address, and starts one of the third only if the old watch still runs. The old watch's end was not reported, as its successor was pending; so neither a watch nor a retry of the engine is left.

Fix: whether anything watched is asked before the pending watch is cancelled. If the third address fails too, no current watch is left, so that the failure is reported and the engine schedules the retry.

Test: watchesThirdAddressWhenOldWatchEndedBeforeTheSecondResponded forces the order (the end of the old watch is awaited); before, "Accept timed out". The other moves were looked through for the same: a move without any watch is followed by the engine's pending retry, which uses the new address.

--- a/src/main/java/stonespring/discovery/PlatformEndpointSource.java
+++ b/src/main/java/stonespring/discovery/PlatformEndpointSource.java
@@ -156,8 +156,10 @@
           }
           LOG.info("discovery address changed from {} to {}", address, newAddress);
           address = newAddress;
+          // The old watch may have ended while its successor waits for a response.
+          boolean watched = currentWatch != null || successorWatch != null;
           cancelSuccessorWatch();
-          if (currentWatch != null) {
+          if (watched) {
             successorWatch = startWatch();
           }
         });
--- a/src/test/java/stonespring/discovery/PlatformEndpointAddressChangeTest.java
+++ b/src/test/java/stonespring/discovery/PlatformEndpointAddressChangeTest.java
@@ -58,6 +58,24 @@
         "DELTA s-2/READY/1/1.5/9500", fixture.updates.nextDescription(), "no failure is reported");
   }
 
+  /**
+   * Guards against a source that watches nothing for good: the address changes again after the old
+   * watch has ended and before the first new address has responded.
+   */
+  @Test
+  void watchesThirdAddressWhenOldWatchEndedBeforeTheSecondResponded() throws Exception {
+    ManualHttpExchange second = newServer.accept();
+    oldWatch.writeRaw("0\r\n\r\n");
+    assertTrue(oldWatch.closedByClient(), "the end of the old watch is noticed");
+    PlatformListServer third = fixture.newServer();
+    fixture.source.changeAddress(third.address());
+    ManualHttpExchange thirdWatch = third.accept();
+    assertTrue(second.closedByClient(), "the second address is no longer of interest");
+    thirdWatch.writeRaw("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+    assertEquals(
+        "FETCH_FAILED", fixture.updates.nextDescription(), "the engine decides on the next try");
+  }
+
   /**
    * The old watch has already delivered versions 6 and 7 when the new watch, requested from version
    * 5, delivers version 6.
