--- a/review/lib/Case.java
+++ b/review/lib/Case.java
@@ -44,7 +44,6 @@
   long seed = 1;
   List<String> zones = List.of("ams-west", "ams-zuid", "almere");
   List<String> classes = List.of("view", "sketch", "extract");
-  Set<String> homeOnly = Set.of();
   int proxyCount = 12;
   int standing = 5;
   double emptyForS = 5.0;
@@ -104,6 +103,11 @@
     if (process != null) {
       process.destroyForcibly();
     }
+    try (var files = Files.walk(temp)) {
+      files.sorted(java.util.Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+    } catch (IOException e) {
+      // left to the platform's cleaner
+    }
   }
 
   // the deployment
@@ -133,9 +137,8 @@
       b.append(k == 0 ? "" : ",").append("{\"name\":\"" + classes.get(k) + "\",\"repeat\":\"" + repeat[k % 3]
           + "\",\"gain\":3.0,\"giveUpS\":1.5,\"goalTimeS\":0.5,\"group\":\"zone\",\"lateWorth\":0.1,\"windowS\":2.0}");
     }
-    List<String> home = classes.stream().map(name -> String.valueOf(homeOnly.contains(name))).toList();
     b.append("],\"familyInfo\":{\"backlog\":5800.0,\"bootstrap\":" + standing + ",\"byZone\":false,\"defaultRetry\":0,");
-    b.append("\"emptyForS\":" + emptyForS + ",\"homeOnly\":[" + String.join(",", home) + "],\"lateS\":0.276,\"levelKind\":\"share\",");
+    b.append("\"emptyForS\":" + emptyForS + ",\"homeOnly\":[false,false,false],\"lateS\":0.276,\"levelKind\":\"share\",");
     b.append("\"lineFee\":0.04,\"messagesOverS\":10.0,\"minConnCap\":191.0,\"oneOwner\":false,\"outlierAfter\":3,\"partitionsN\":0,");
     b.append("\"perMessage\":10.0,\"perTry\":1.2,\"proxyCount\":" + proxyCount + ",\"pushDelayMaxS\":0.69,\"pushRate\":2900.0,");
     b.append("\"reloadsMax\":30,\"reportEveryS\":" + reportEveryS + ",\"reportsPerS\":200.0,\"selectsBy\":\"weighted\",\"warmKeys\":false},");
@@ -201,10 +204,6 @@
     record.note("assigner answered PONG");
   }
 
-  boolean assignerRuns() {
-    return process.isAlive();
-  }
-
   /** A planned restart as the platform does it: SIGTERM, SIGKILL no sooner than 0.7 s later. */
   void stopAssigner() throws Exception {
     serving = false;
@@ -216,12 +215,6 @@
     record.note("the assigner has ended");
   }
 
-  void killAssigner() throws Exception {
-    serving = false;
-    record.note("SIGKILL to the assigner");
-    process.destroyForcibly().waitFor();
-  }
-
   // the rules
 
   void violation(String key, String text) {
@@ -244,7 +237,6 @@
           for (String name : classes) {
             String key = p.id + " " + name;
             boolean warmListed = told.values().stream().anyMatch(t -> t.health().equals("Ready")
-                && (!homeOnly.contains(name) || t.site().equals(p.zone))
                 && (t.bornMs() == 0 || System.currentTimeMillis() - t.bornMs() >= coldS * 1000));
             if (!serving || !p.isJoined() || !warmListed || !p.lines(name).isEmpty()) {
               bareSince.remove(key);
@@ -285,8 +277,4 @@
     }
   }
 
-
-  Path log() {
-    return temp.resolve("assigner-" + starts + ".log");
-  }
 }
--- a/review/lib/Discovery.java
+++ b/review/lib/Discovery.java
@@ -24,7 +24,7 @@
   private static final Pattern REQUEST =
       Pattern.compile("GET /registry/instances(?:\\?stream=1&index=(\\d+))? HTTP/1\\.1");
 
-  /** State of a task as written to the assigner's present process. */
+  /** State of a task as written to the assigner's present process: since when it is Ready, or is not. */
   record Told(String health, long bornMs, String site, long at) {}
 
   private final TaskList list;
@@ -37,7 +37,6 @@
   /** How long a call takes; calls are handled one at a time. */
   volatile long callMillis = 20;
   private final Object oneAtATime = new Object();
-  private volatile long lastRefusedAt;
 
   Discovery(TaskList list, Record record) throws IOException {
     this.list = list;
@@ -69,10 +68,6 @@
     return refusedCalls;
   }
 
-  long lastRefusedAt() {
-    return lastRefusedAt;
-  }
-
   /** A new process of the assigner starts: it has been told what the configuration's list says. */
   synchronized void newProcess(List<TaskList.Entry> known) {
     told.clear();
@@ -87,7 +82,8 @@
     long now = System.nanoTime();
     for (TaskList.Entry e : entries) {
       Told before = told.get(e.host());
-      if (before == null || !before.health().equals(e.health()) || before.bornMs() != e.bornMs()) {
+      boolean stillAway = before != null && !before.health().equals("Ready") && !e.health().equals("Ready");
+      if (!stillAway && (before == null || !before.health().equals(e.health()) || before.bornMs() != e.bornMs())) {
         told.put(e.host(), new Told(e.health(), e.bornMs(), e.site(), now));
         record.line("discovery wrote " + e.host() + " " + e.health());
       }
@@ -134,7 +130,6 @@
       } else if (down) {
         record.line("discovery refused with 503: " + first);
         write(out, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
-        lastRefusedAt = System.nanoTime();
         refusedCalls++;
       } else if (m.group(1) == null) {
         handle(first);
@@ -158,14 +153,6 @@
     record.line("discovery answers: " + call);
   }
 
-  /** Closes the watches and calls that are open. */
-  void resetOpen() {
-    synchronized (open) {
-      open.forEach(Threads::reset);
-      open.clear();
-    }
-  }
-
   private void watch(OutputStream out, long index) throws IOException, InterruptedException {
     write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     long sent = index;
--- a/review/lib/DrainAfterOutage.java
+++ b/review/lib/DrainAfterOutage.java
@@ -16,7 +16,7 @@
     graceS = 1.5;
     requestsPerSecond = 6;
     coldS = 14;
-    discovery.callMillis = 1_500;
+    discovery.callMillis = 1_800;
     int next = 0;
     List<String> ready = new ArrayList<>();
     for (; next < 9; next++) {
--- a/review/lib/Proxy.java
+++ b/review/lib/Proxy.java
@@ -77,19 +77,9 @@
   synchronized Set<String> lines(String name) {
     Set<String> usable = new HashSet<>(tables.get(name).keySet());
     usable.removeAll(excluded);
-    if (c.homeOnly.contains(name)) {
-      usable.removeIf(host -> !c.list.get(host).site().equals(zone));
-    }
     return usable;
   }
 
-  void breakStream() {
-    Socket s = socket;
-    if (s != null) {
-      Threads.reset(s);
-    }
-  }
-
   private void runStreams() {
     while (!c.over) {
       try (Socket s = new Socket()) {
