--- a/review/lib/Case.java
+++ b/review/lib/Case.java
@@ -29,7 +29,6 @@
   private static final double AFTER_START_S = 1.0;
 
   final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-  final Path folder;
   final Path root;
   final Path temp;
   final Record record;
@@ -67,10 +66,9 @@
   private final Set<String> reported = new HashSet<>();
 
   Case(String[] args) throws IOException {
-    folder = Path.of(args[0]).toAbsolutePath();
     root = Path.of(args[1]).toAbsolutePath();
     temp = Files.createTempDirectory("case");
-    record = new Record(folder.resolve("record.txt"));
+    record = new Record(Path.of(args[0]));
     tasks = new Tasks(record);
     try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
       port = free.getLocalPort();
