Log when a watch of the platform's endpoint list is requested

Cause: the log had a line for each failed request to discovery and none for the next request, so it could not tell a late request (the engine's wait) from a slow answer (connection or server).

Change: PlatformEndpointSource logs each request with the server's address and the version held.

--- a/src/main/java/stonespring/discovery/PlatformEndpointSource.java
+++ b/src/main/java/stonespring/discovery/PlatformEndpointSource.java
@@ -122,6 +122,11 @@
   }
 
   private PlatformEndpointWatch startWatch() {
+    LOG.info(
+        "requesting a watch of the endpoint list from discovery server {}, changes since version"
+            + " {}",
+        address,
+        list.version());
     return new PlatformEndpointWatch(address, PATH, list, connector, watchListener);
   }
 
