--- a/src/main/java/stonespring/config/InstanceSettingsDecoder.java
+++ b/src/main/java/stonespring/config/InstanceSettingsDecoder.java
@@ -203,7 +203,10 @@
     return new Settings(
         new Settings.Fleet(fleet.instances(), fleet.zones().size(), fleet.proxies(), false),
         List.copyOf(requestClasses),
-        new Settings.EndpointListRules(watchRequired, rules.removedEndpointsKeepServing()),
+        new Settings.EndpointListRules(
+            watchRequired,
+            rules.removedEndpointsKeepServing(),
+            Settings.EndpointListRules.UNLIMITED_NOTIFICATION_DELAY),
         limitKind(
             globals.choice(SettingsKeys.ADMISSION_LIMIT_KIND, LIMIT_KIND_WORDS, LIMIT_FRACTION)),
         channel,
--- a/src/main/java/stonespring/config/PlatformSettings.java
+++ b/src/main/java/stonespring/config/PlatformSettings.java
@@ -28,6 +28,12 @@
    */
   private static final int MAX_REQUEST_CLASSES = 31;
 
+  /**
+   * The time without a request after which an instance counts as notified of the endpoint list is
+   * this many times {@code askEveryS} if its last request has failed.
+   */
+  private static final int REQUEST_INTERVALS_AFTER_FAILURE = 4;
+
   /**
    * Reads the settings object.
    *
@@ -112,6 +118,7 @@
       List<RequestClass> classes) {
     int instances = (int) fields.number("balancers");
     boolean watchRequired = fields.text("discovery").equals("on_request");
+    Settings.EndpointListRules endpointList = readEndpointListRules(watchRequired, rules);
     AdmissionLimitKind limitKind = limitKind(fleet.text("levelKind"));
     Settings.ChannelLimits channel = readChannel(fleet);
     long maxTimeWithoutEndpointDeciMillis = fleet.durationDeciMillis("emptyForS");
@@ -122,12 +129,11 @@
     double crossZonePenalty = fields.object("prices").number("crossZone", 0);
     Settings.SlowStart slowStart = readSlowStart(rules);
     double worstClassWeight = fields.optionalObject("scoringMix").number("worstClass", 0);
-    boolean removedEndpointsKeepServing = rules.isTrue("droppedStayOpen");
     int ejectAfterConsecutiveFailures = (int) fleet.number("outlierAfter", 0);
     return new Settings(
         new Settings.Fleet(instances, zones, proxies, sharded),
         List.copyOf(classes),
-        new Settings.EndpointListRules(watchRequired, removedEndpointsKeepServing),
+        endpointList,
         limitKind,
         channel,
         new Settings.RoutingRules(
@@ -140,6 +146,14 @@
         reportIntervalDeciMillis);
   }
 
+  private static Settings.EndpointListRules readEndpointListRules(
+      boolean watchRequired, JsonFields rules) {
+    long maxNotificationDelayDeciMillis =
+        REQUEST_INTERVALS_AFTER_FAILURE * rules.durationDeciMillis("askEveryS", 0);
+    return new Settings.EndpointListRules(
+        watchRequired, rules.isTrue("droppedStayOpen"), maxNotificationDelayDeciMillis);
+  }
+
   private static AdmissionLimitKind limitKind(String word) {
     return switch (word) {
       case "share" -> AdmissionLimitKind.FRACTION;
--- a/src/main/java/stonespring/model/Settings.java
+++ b/src/main/java/stonespring/model/Settings.java
@@ -35,8 +35,26 @@
    * @param watchRequired whether only a watch on the list delivers its changes
    * @param removedEndpointsKeepServing whether an endpoint removed from the list may still be used
    *     as long as it responds
+   * @param maxNotificationDelay time after a change of the list from which this instance counts as
+   *     notified of it, even if all its requests for the list have failed; {@link
+   *     #UNLIMITED_NOTIFICATION_DELAY} if there is no such time
    */
-  public record EndpointListRules(boolean watchRequired, boolean removedEndpointsKeepServing) {}
+  public record EndpointListRules(
+      boolean watchRequired, boolean removedEndpointsKeepServing, long maxNotificationDelay) {
+    /** A {@link #maxNotificationDelay} without limit. */
+    public static final long UNLIMITED_NOTIFICATION_DELAY = 0;
+
+    /** The platform's limit on the notification delay, whatever the settings allow. */
+    private static final long PLATFORM_MAX_NOTIFICATION_DELAY = 6 * DeciMillis.SECOND;
+
+    private EndpointListRules withPlatformConstraints() {
+      long delay =
+          maxNotificationDelay == UNLIMITED_NOTIFICATION_DELAY
+              ? PLATFORM_MAX_NOTIFICATION_DELAY
+              : Math.min(maxNotificationDelay, PLATFORM_MAX_NOTIFICATION_DELAY);
+      return new EndpointListRules(true, removedEndpointsKeepServing, delay);
+    }
+  }
 
   /**
    * Limits of the channel to the proxies. An entry is a route, an admission limit, an exclusion or
@@ -107,7 +125,8 @@
 
   /**
    * Returns a copy of these settings with the constraints of the operators' platform: only a watch
-   * delivers changes of the endpoint list, and proxies do not report what their tables contain.
+   * delivers changes of the endpoint list, the delay of their notification is limited, and proxies
+   * do not report what their tables contain.
    */
   public Settings withPlatformConstraints() {
     ChannelLimits platformChannel =
@@ -121,7 +140,7 @@
     return new Settings(
         fleet,
         requestClasses,
-        new EndpointListRules(true, endpointList.removedEndpointsKeepServing),
+        endpointList.withPlatformConstraints(),
         admissionLimitKind,
         platformChannel,
         routing,
--- a/src/main/java/stonespring/recording/StoredSettings.java
+++ b/src/main/java/stonespring/recording/StoredSettings.java
@@ -9,7 +9,8 @@
 /**
  * The settings in a recording's head in the form that files contain. The names of the components
  * and their order are part of the file format and stay the same when other identifiers in the code
- * are renamed.
+ * are renamed. The limit on the notification delay of list changes is not stored: recordings are of
+ * instances that have none.
  */
 record StoredSettings(
     int assigners,
@@ -102,7 +103,10 @@
     return new Settings(
         new Settings.Fleet(assigners, zones, proxies, slices),
         opTypes.stream().map(StoredSettings::restored).toList(),
-        new Settings.EndpointListRules(listOnRequest, droppedStayOpen),
+        new Settings.EndpointListRules(
+            listOnRequest,
+            droppedStayOpen,
+            Settings.EndpointListRules.UNLIMITED_NOTIFICATION_DELAY),
         AdmissionLimitKind.values()[levelKind.ordinal()],
         new Settings.ChannelLimits(
             backlogLines, messageHead, messagesMost, messagesOver, linesPerSecond, holdingsUnknown),
--- a/src/main/java/stonespring/testbed/virtual/LoadGenerator.java
+++ b/src/main/java/stonespring/testbed/virtual/LoadGenerator.java
@@ -151,7 +151,8 @@
             new RequestClass(RetrySafety.IDEMPOTENT, 5_000, 3),
             new RequestClass(RetrySafety.IDEMPOTENCY_KEYED, 8_000, 3),
             new RequestClass(RetrySafety.NON_IDEMPOTENT, 6_000, 2)),
-        new Settings.EndpointListRules(false, false),
+        new Settings.EndpointListRules(
+            false, false, Settings.EndpointListRules.UNLIMITED_NOTIFICATION_DELAY),
         AdmissionLimitKind.FRACTION,
         new Settings.ChannelLimits(
             channelEntries, 10, 30, 10 * DeciMillis.SECOND, channelEntries, false),
--- /dev/null
+++ b/src/test/java/stonespring/daemon/DiscoveryOutageTest.java
@@ -0,0 +1,72 @@
+package stonespring.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static stonespring.daemon.PlatformFixture.endpoint;
+import static stonespring.daemon.PlatformFixture.endpointList;
+
+import java.net.ServerSocket;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.RegisterExtension;
+import stonespring.config.PlatformConfig;
+
+/** Tests when an instance asks a discovery server again that has refused its requests. */
+final class DiscoveryOutageTest {
+  private static final int REFUSED_REQUESTS = 3;
+
+  /** Time after a change of the list from which an instance counts as notified of it. */
+  private static final long MAX_NOTIFICATION_DELAY_MILLIS = 6_000;
+
+  @RegisterExtension final PlatformFixture platform = new PlatformFixture();
+
+  /** Ends the first watch and refuses the requests that follow. */
+  private void endWatchAndRefuseRequests() throws Exception {
+    EndpointListRequest watch = platform.acceptListRequest(platform.discovery());
+    watch.beginWatch(endpointList(5, endpoint("s-1", "west")));
+    watch.close();
+    for (int request = 0; request < REFUSED_REQUESTS; request++) {
+      platform.acceptListRequest(platform.discovery()).refuse();
+    }
+  }
+
+  private void assertAskedInTime(ServerSocket discoveryServer, long changedAtNanos)
+      throws Exception {
+    platform.acceptListRequest(discoveryServer);
+    long waitMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - changedAtNanos);
+    assertTrue(
+        waitMillis < MAX_NOTIFICATION_DELAY_MILLIS,
+        "expected a request within " + MAX_NOTIFICATION_DELAY_MILLIS + " ms, waited " + waitMillis);
+  }
+
+  /**
+   * Guards against a wait in which a drain counts as notified while the instance has not asked for
+   * it: the watch ends, three requests are refused, and an endpoint drains just afterwards.
+   */
+  @Test
+  void asksAgainBeforeItCountsAsNotifiedAfterThreeRefusals() throws Exception {
+    platform.writeConfig(platform.config());
+    PlatformDaemon daemon = new PlatformDaemon(PlatformConfig.read(platform.configFile()));
+    daemon.start();
+    endWatchAndRefuseRequests();
+    assertAskedInTime(platform.discovery(), System.nanoTime());
+    daemon.stop();
+  }
+
+  /**
+   * Guards against the same wait when the server moves in the meantime: no watch is open that would
+   * be started again at the new address at once.
+   */
+  @Test
+  void asksNewAddressBeforeItCountsAsNotifiedAfterThreeRefusals() throws Exception {
+    platform.writeConfig(platform.config());
+    PlatformDaemon daemon = new PlatformDaemon(PlatformConfig.read(platform.configFile()));
+    daemon.start();
+    endWatchAndRefuseRequests();
+    long movedAtNanos = System.nanoTime();
+    ServerSocket moved = platform.listen();
+    platform.writeConfig(platform.config(moved));
+    daemon.reload(PlatformConfig.read(platform.configFile()));
+    assertAskedInTime(moved, movedAtNanos);
+    daemon.stop();
+  }
+}
--- a/src/test/java/stonespring/daemon/EndpointListRequest.java
+++ b/src/test/java/stonespring/daemon/EndpointListRequest.java
@@ -17,6 +17,11 @@
     return exchange.target();
   }
 
+  /** Answers that the server is unavailable. */
+  void refuse() throws IOException {
+    exchange.writeRaw("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+  }
+
   /** Starts the response to a watch with an endpoint list; the response stays open. */
   void beginWatch(String endpointList) throws IOException {
     exchange.writeRaw(ManualHttpExchange.CHUNKED_HEAD).writeChunk(endpointList + "\n");
--- a/src/test/java/stonespring/daemon/HostSimulation.java
+++ b/src/test/java/stonespring/daemon/HostSimulation.java
@@ -81,7 +81,8 @@
         List.of(
             new RequestClass(RetrySafety.IDEMPOTENT, SECOND / 2, 3),
             new RequestClass(RetrySafety.NON_IDEMPOTENT, SECOND, 2)),
-        new Settings.EndpointListRules(false, false),
+        new Settings.EndpointListRules(
+            false, false, Settings.EndpointListRules.UNLIMITED_NOTIFICATION_DELAY),
         AdmissionLimitKind.FRACTION,
         new Settings.ChannelLimits(2000, 10, 30, 10 * SECOND, 2000, false),
         new Settings.RoutingRules(5 * SECOND, 3, 0.1, 0.1, 3),
--- a/src/test/java/stonespring/daemon/PlatformConfigurationTest.java
+++ b/src/test/java/stonespring/daemon/PlatformConfigurationTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.extension.RegisterExtension;
 import stonespring.config.InvalidConfigException;
 import stonespring.config.PlatformConfig;
+import stonespring.model.DeciMillis;
 
 /**
  * Tests how the platform's configuration is read at the start and reloaded with and without SIGHUP.
@@ -134,6 +135,23 @@
     daemon.stop();
   }
 
+  /** The platform's limit is 6 s; settings may allow less after a failed request. */
+  @Test
+  void readsShorterNotificationDelayOfSettingsAndPlatform() throws Exception {
+    assertEquals(6 * DeciMillis.SECOND, readMaxNotificationDelay(""));
+    assertEquals(6 * DeciMillis.SECOND, readMaxNotificationDelay("\"askEveryS\":10.0,"));
+    assertEquals(4 * DeciMillis.SECOND, readMaxNotificationDelay("\"askEveryS\":1.0,"));
+  }
+
+  private long readMaxNotificationDelay(String rule) throws Exception {
+    platform.writeConfig(platform.config().replace("\"rules\":{", "\"rules\":{" + rule));
+    return PlatformConfig.read(platform.configFile())
+        .settings()
+        .settings()
+        .endpointList()
+        .maxNotificationDelay();
+  }
+
   @Test
   void rejectsInvalidConfigurationWithOneLineThatNamesTheField() throws Exception {
     String good = PlatformFixture.config(1);
--- a/src/test/java/stonespring/decision/FleetSettings.java
+++ b/src/test/java/stonespring/decision/FleetSettings.java
@@ -20,6 +20,7 @@
   private int maxMessages = 30;
   private int bootstrapRoutes = 4;
   private boolean watchRequired;
+  private long maxNotificationDelay = Settings.EndpointListRules.UNLIMITED_NOTIFICATION_DELAY;
   private int maxBacklog = 3000;
   private double entriesPerSecond = 2500;
   private boolean removedKeepServing;
@@ -61,6 +62,12 @@
     return this;
   }
 
+  /** Sets the limit on the delay of notifications of list changes, in DeciMillis. */
+  FleetSettings maxNotificationDelay(long maxNotificationDelay) {
+    this.maxNotificationDelay = maxNotificationDelay;
+    return this;
+  }
+
   FleetSettings channel(int maxBacklog, double entriesPerSecond) {
     this.maxBacklog = maxBacklog;
     this.entriesPerSecond = entriesPerSecond;
@@ -84,7 +91,7 @@
             new RequestClass(RetrySafety.IDEMPOTENT, SECOND / 2, 3),
             new RequestClass(RetrySafety.IDEMPOTENCY_KEYED, SECOND, 3),
             new RequestClass(RetrySafety.NON_IDEMPOTENT, SECOND, 2)),
-        new Settings.EndpointListRules(watchRequired, removedKeepServing),
+        new Settings.EndpointListRules(watchRequired, removedKeepServing, maxNotificationDelay),
         limitKind,
         new Settings.ChannelLimits(
             maxBacklog, 10, maxMessages, 10 * SECOND, entriesPerSecond, false),
--- a/src/test/java/stonespring/decision/LowTrafficProxiesTest.java
+++ b/src/test/java/stonespring/decision/LowTrafficProxiesTest.java
@@ -46,7 +46,8 @@
                     new RequestClass(RetrySafety.IDEMPOTENT, SECOND / 2, 1),
                     new RequestClass(RetrySafety.IDEMPOTENCY_KEYED, SECOND, 1),
                     new RequestClass(RetrySafety.NON_IDEMPOTENT, SECOND, 1)),
-                new Settings.EndpointListRules(false, false),
+                new Settings.EndpointListRules(
+                    false, false, Settings.EndpointListRules.UNLIMITED_NOTIFICATION_DELAY),
                 AdmissionLimitKind.FRACTION,
                 new Settings.ChannelLimits(6000, 10, 0, 10 * SECOND, 3000, false),
                 new Settings.RoutingRules(5 * SECOND, 5, 0, 0.1, 3),
--- a/src/test/java/stonespring/solver/WeightAdvisorTest.java
+++ b/src/test/java/stonespring/solver/WeightAdvisorTest.java
@@ -27,7 +27,8 @@
       new Settings(
           new Settings.Fleet(1, 2, 2, false),
           List.of(new RequestClass(RetrySafety.IDEMPOTENT, SECOND, 1)),
-          new Settings.EndpointListRules(false, false),
+          new Settings.EndpointListRules(
+              false, false, Settings.EndpointListRules.UNLIMITED_NOTIFICATION_DELAY),
           AdmissionLimitKind.FRACTION,
           new Settings.ChannelLimits(2000, 10, 30, 10 * SECOND, 2000, false),
           new Settings.RoutingRules(5 * SECOND, 3, 0.1, 0.1, 3),
