Retry a failed request for the list when it is due, not at the periodic timer

Callers would see: where reports are rare, drains come late after a failed request to discovery, as the next request waits for a timer that fires twice in a report interval.

Cause: EndpointListWatcher.ensureWatch is called at list updates and timers alone, and the engine's only regular timer has the pace of reports.

With reports each 12 s an answer after 2.5 s comes 8.5 s after a refusal, at a limit of 6 s.

Change: each retry has a timer of its own, so its time no longer depends on that of reports.

Test, which failed before (8.5 s): EndpointListTest#requestsListInTimeWhenReportsAreRare.

--- a/src/main/java/stonespring/decision/AssignmentEngine.java
+++ b/src/main/java/stonespring/decision/AssignmentEngine.java
@@ -62,7 +62,7 @@
     batch = new CommandBatch(settings.channel());
     budget = new ChannelBudget(settings.channel(), clock, proxies, batch);
     timers = new EngineTimers(settings, clock, batch);
-    listWatcher = new EndpointListWatcher(settings, clock, random, batch);
+    listWatcher = new EndpointListWatcher(settings, clock, random, batch, timers);
     ExclusionNotifier exclusions =
         new ExclusionNotifier(settings, clock, endpoints, proxies, batch, budget);
     urgentUpdates =
--- a/src/main/java/stonespring/decision/EndpointListWatcher.java
+++ b/src/main/java/stonespring/decision/EndpointListWatcher.java
@@ -31,6 +31,7 @@
   private final EngineClock clock;
   private final DeterministicRandom random;
   private final CommandBatch batch;
+  private final EngineTimers timers;
   private final long maxRequestInterval;
   private final long maxBackoff;
   private boolean watching;
@@ -42,11 +43,16 @@
   private long backoff;
 
   EndpointListWatcher(
-      Settings settings, EngineClock clock, DeterministicRandom random, CommandBatch batch) {
+      Settings settings,
+      EngineClock clock,
+      DeterministicRandom random,
+      CommandBatch batch,
+      EngineTimers timers) {
     this.settings = settings;
     this.clock = clock;
     this.random = random;
     this.batch = batch;
+    this.timers = timers;
     this.lastRequestAt = clock.now();
     this.maxRequestInterval = maxRequestInterval(settings.endpointList());
     // The wait is up to twice the backoff and should stay random below the maximum interval.
@@ -90,6 +96,7 @@
     long lastContactAt = watching ? now : lastRequestAt;
     long latestRequestAt = Math.max(now, lastContactAt + maxRequestInterval);
     nextRequestAt = Math.min(now + backoff + jitter, latestRequestAt);
+    timers.startListRetryTimer(nextRequestAt - now);
     backoff = Math.min(maxBackoff, 2 * backoff);
   }
 
--- a/src/main/java/stonespring/decision/EngineTimers.java
+++ b/src/main/java/stonespring/decision/EngineTimers.java
@@ -4,10 +4,14 @@
 import stonespring.model.Settings;
 import stonespring.model.TimerToken;
 
-/** Starts the engine's two timers: a periodic one, and one that retries postponed updates. */
+/**
+ * Starts the engine's timers: a periodic one, one that retries postponed updates, and one that
+ * retries a failed request for the endpoint list.
+ */
 final class EngineTimers {
   private static final TimerToken PERIODIC_TIMER = new TimerToken(1);
   private static final TimerToken RETRY_TIMER = new TimerToken(2);
+  private static final TimerToken LIST_RETRY_TIMER = new TimerToken(3);
 
   private final Settings settings;
   private final EngineClock clock;
@@ -48,4 +52,14 @@
       batch.addLocal(new Command.StartTimer(ChannelBudget.BATCH_INTERVAL_DECI_MILLIS, RETRY_TIMER));
     }
   }
+
+  /**
+   * Starts a timer for the next request for the endpoint list. The periodic timer may be too late
+   * for it.
+   *
+   * @param delay DeciMillis
+   */
+  void startListRetryTimer(long delay) {
+    batch.addLocal(new Command.StartTimer(delay, LIST_RETRY_TIMER));
+  }
 }
--- a/src/test/java/stonespring/decision/EndpointListTest.java
+++ b/src/test/java/stonespring/decision/EndpointListTest.java
@@ -104,4 +104,30 @@
     fleet.step(1);
     assertEquals(1, fleet.shares(0).size(), "the endpoint of the last list is used");
   }
+
+  /**
+   * Guards against requests for the list that wait for the periodic timer, which fires twice in a
+   * report interval: the instance would count as notified of changes before it asks for them.
+   */
+  @Test
+  void requestsListInTimeWhenReportsAreRare() {
+    long maxDelay = 6 * SECOND;
+    long responseTimeout = 5 * SECOND / 2;
+    FleetSettings rareReports = new FleetSettings().watchRequired().reportInterval(12 * SECOND);
+    Fleet fleet = new Fleet(rareReports.build().withPlatformConstraints());
+    fleet.startEngine(3);
+    fleet.step(1);
+    for (int request = 0; request < 6; request++) {
+      fleet.events.add(new Event.EndpointListUpdate(Event.ListUpdateKind.FETCH_FAILED, List.of()));
+      fleet.step(1);
+      long refusedAt = fleet.now;
+      while (fleet.commandsOf(Command.WatchEndpoints.class).isEmpty()) {
+        fleet.step(10);
+      }
+      long answeredAt = fleet.now + responseTimeout;
+      assertTrue(
+          answeredAt - refusedAt <= maxDelay,
+          "expected an answer within " + maxDelay + ", found " + (answeredAt - refusedAt));
+    }
+  }
 }
--- a/src/test/java/stonespring/decision/EndpointListWatcherTest.java
+++ b/src/test/java/stonespring/decision/EndpointListWatcherTest.java
@@ -26,13 +26,14 @@
   private EndpointListWatcher watcher = createWatcher(settings, 1);
 
   private EndpointListWatcher createWatcher(Settings settings, long seed) {
-    return new EndpointListWatcher(settings, clock, new DeterministicRandom(seed), batch);
+    EngineTimers timers = new EngineTimers(settings, clock, batch);
+    return new EndpointListWatcher(settings, clock, new DeterministicRandom(seed), batch, timers);
   }
 
   /** Removes and returns the watch requests that are due at the present instant. */
   private List<Command> takeRequests() {
     watcher.ensureWatch();
-    return batch.takeCommands();
+    return batch.takeCommands().stream().filter(Command.WatchEndpoints.class::isInstance).toList();
   }
 
   /** Returns the time until the next watch request in DeciMillis, a multiple of 10 ms. */
--- a/src/test/java/stonespring/decision/FleetSettings.java
+++ b/src/test/java/stonespring/decision/FleetSettings.java
@@ -25,6 +25,7 @@
   private double entriesPerSecond = 2500;
   private boolean removedKeepServing;
   private int ejectAfter = 3;
+  private long reportInterval = SECOND;
 
   FleetSettings instances(int instances) {
     this.instances = instances;
@@ -84,6 +85,11 @@
     return this;
   }
 
+  FleetSettings reportInterval(long reportInterval) {
+    this.reportInterval = reportInterval;
+    return this;
+  }
+
   Settings build() {
     return new Settings(
         new Settings.Fleet(instances, 2, proxies, sharded),
@@ -97,6 +103,6 @@
             maxBacklog, 10, maxMessages, 10 * SECOND, entriesPerSecond, false),
         new Settings.RoutingRules(5 * SECOND, bootstrapRoutes, 0.1, 0.1, ejectAfter),
         new Settings.SlowStart(10 * SECOND, 0.2, 3),
-        SECOND);
+        reportInterval);
   }
 }
