Give up on an incomplete list message in time for the next request

Callers would see: a drain in a list message that arrives in pieces and never ends reaches the proxies too late.

Cause: PlatformEndpointWatch gave a message 5 s, so that the list is requested again before the 6 s after which a change counts as notified. The wait of 0.5 to 1 s and the answer to that request had no room.

Evidence: on sockets the next request came 5.6 s after the message began.

Change: a message has 2.5 s: with 1 s for the wait and 2.5 s for the answer, 6 s in all.

--- a/src/main/java/stonespring/discovery/PlatformEndpointWatch.java
+++ b/src/main/java/stonespring/discovery/PlatformEndpointWatch.java
@@ -47,9 +47,10 @@
   /**
    * Maximum time for receiving a message. Without it, a message that arrives in pieces and never
    * ends would keep the watch alive. The platform treats a change as delivered 6 s after it
-   * occurred, even if its message is incomplete, so the list must be requested again before that.
+   * occurred, even if its message is incomplete. The time leaves room for the wait until the next
+   * request, up to 1 s, and for the response to it.
    */
-  private static final long MESSAGE_TIMEOUT_MILLIS = 5_000;
+  private static final long MESSAGE_TIMEOUT_MILLIS = 2_500;
 
   private final InetSocketAddress address;
   private final PlatformEndpointList list;
--- a/src/test/java/stonespring/daemon/EndpointListRequest.java
+++ b/src/test/java/stonespring/daemon/EndpointListRequest.java
@@ -32,6 +32,15 @@
     exchange.writeChunk(endpointList + "\n");
   }
 
+  /** Sends a piece of a message on a watch, unless the client has closed the connection. */
+  void sendPiece(String piece) {
+    try {
+      exchange.writeChunk(piece);
+    } catch (IOException e) {
+      // The client no longer waits for the message.
+    }
+  }
+
   /** Waits until the client closes the connection or sends a byte; returns whether it closed it. */
   boolean closedByClient() throws IOException {
     return exchange.closedByClient();
