Soak test: one way to close sockets, a typed start time, no unused counters

Cause: left behind when the soak test was built: closeQuietly stood in three classes, the time of a failed start was -1, and two counters had no reader.

Change: Sockets.closeQuietly, OptionalLong as the result of InstanceControl.start, counters removed. No change of behaviour.

--- a/src/main/java/stonespring/testbed/platform/DiscoveryStandIn.java
+++ b/src/main/java/stonespring/testbed/platform/DiscoveryStandIn.java
@@ -28,7 +28,6 @@
   private final ServerSocket server;
   private final List<Socket> connections = new ArrayList<>();
   private volatile boolean failing;
-  private volatile int requests;
 
   DiscoveryStandIn(EndpointRoster roster, NotifiedStates notifiedStates) throws IOException {
     this.roster = roster;
@@ -41,11 +40,6 @@
     return server.getLocalPort();
   }
 
-  /** Returns the number of requests read so far. */
-  int requests() {
-    return requests;
-  }
-
   /** Makes the server answer each request with 503, or not. */
   void setFailing(boolean on) {
     failing = on;
@@ -54,7 +48,7 @@
   /** Closes all open connections. */
   void resetConnections() {
     synchronized (connections) {
-      connections.forEach(DiscoveryStandIn::closeQuietly);
+      connections.forEach(Sockets::closeQuietly);
       connections.clear();
     }
   }
@@ -80,14 +74,6 @@
     thread.start();
   }
 
-  private static void closeQuietly(Socket socket) {
-    try {
-      socket.close();
-    } catch (IOException e) {
-      // The connection is of no further use either way.
-    }
-  }
-
   private void acceptConnections() {
     try {
       while (true) {
@@ -123,7 +109,6 @@
     if (requestLine == null) {
       return;
     }
-    requests++;
     Matcher request = REQUEST.matcher(requestLine);
     OutputStream out = connection.getOutputStream();
     if (!request.matches()) {
--- a/src/main/java/stonespring/testbed/platform/InstanceControl.java
+++ b/src/main/java/stonespring/testbed/platform/InstanceControl.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -62,10 +63,10 @@
   /**
    * Starts a process and waits for its first answer.
    *
-   * @return the time from the start to the answer, in milliseconds; empty of meaning if the process
-   *     ended or did not answer in time, which is -1
+   * @return the time from the start to the answer, in milliseconds; empty if the process ended or
+   *     did not answer in time
    */
-  long start() throws IOException, InterruptedException {
+  OptionalLong start() throws IOException, InterruptedException {
     starts++;
     long startedNanos = System.nanoTime();
     ProcessBuilder builder =
@@ -77,14 +78,14 @@
     while (process.isAlive()) {
       long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos);
       if (millis > MAX_READY_MILLIS) {
-        return -1;
+        return OptionalLong.empty();
       }
       if (answers()) {
-        return millis;
+        return OptionalLong.of(millis);
       }
       Thread.sleep(PROBE_INTERVAL_MILLIS);
     }
-    return -1;
+    return OptionalLong.empty();
   }
 
   private boolean answers() {
--- a/src/main/java/stonespring/testbed/platform/ProxyStandIn.java
+++ b/src/main/java/stonespring/testbed/platform/ProxyStandIn.java
@@ -46,7 +46,6 @@
   private final Random random;
   private final HeldTables tables;
   private final Observer observer;
-  private final AtomicInteger orders = new AtomicInteger();
 
   /** Counts the threads that ran connections; only the latest one counts. */
   private final AtomicInteger generation = new AtomicInteger();
@@ -102,15 +101,13 @@
     return joinedAtNanos;
   }
 
-  /** Returns the number of orders received so far. */
-  int orderCount() {
-    return orders.get();
-  }
-
   /** Closes the connection; the proxy connects again. */
   void closeConnection() {
     ownFault = true;
-    closeQuietly(socket);
+    Socket connection = socket;
+    if (connection != null) {
+      Sockets.closeQuietly(connection);
+    }
   }
 
   /** Sends bytes that can't be read, which the instance answers by closing the connection. */
@@ -209,7 +206,6 @@
     if (!line.startsWith("CONFIG")) {
       return;
     }
-    orders.incrementAndGet();
     Map<String, String> fields = new HashMap<>();
     for (String word : line.split(" ")) {
       int separator = word.indexOf('=');
@@ -262,14 +258,4 @@
       // The reading thread notices the end of the connection.
     }
   }
-
-  private static void closeQuietly(Socket connection) {
-    if (connection != null) {
-      try {
-        connection.close();
-      } catch (IOException e) {
-        // The connection is of no further use either way.
-      }
-    }
-  }
 }
--- a/src/main/java/stonespring/testbed/platform/SoakRun.java
+++ b/src/main/java/stonespring/testbed/platform/SoakRun.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -143,8 +144,8 @@
     long version = roster.version();
     List<EndpointRoster.Entry> known = roster.listed();
     config.write(discovery.port(), version, known, Long.toHexString(random.nextLong() >>> 1));
-    long millis = instance.start();
-    if (millis < 0) {
+    OptionalLong millis = instance.start();
+    if (millis.isEmpty()) {
       log.addViolation(
           "a process ended or did not answer within "
               + InstanceControl.MAX_READY_MILLIS
@@ -152,8 +153,8 @@
               + instance.logFile());
       return false;
     }
-    log.addEvent("ready after " + millis + " ms");
-    readyMillis.add(millis);
+    log.addEvent("ready after " + millis.getAsLong() + " ms");
+    readyMillis.add(millis.getAsLong());
     notifiedStates.record(known);
     killed = false;
     ending = false;
--- a/src/main/java/stonespring/testbed/platform/UnjoinedConnections.java
+++ b/src/main/java/stonespring/testbed/platform/UnjoinedConnections.java
@@ -51,7 +51,7 @@
         socket.getOutputStream().write(firstBytes.getBytes(StandardCharsets.US_ASCII));
         opened.add(new Opened(socket, firstBytes, now));
       } catch (IOException e) {
-        closeQuietly(socket); // closed already, which is an answer
+        Sockets.closeQuietly(socket); // closed already, which is an answer
       }
     }
   }
@@ -70,7 +70,7 @@
                   + connection.firstBytes().strip()
                   + "'");
         }
-        closeQuietly(connection.socket());
+        Sockets.closeQuietly(connection.socket());
       }
     }
   }
@@ -89,15 +89,7 @@
 
   /** Closes all connections without a check, since the instance ends. */
   void closeAll() {
-    opened.forEach(connection -> closeQuietly(connection.socket()));
+    opened.forEach(connection -> Sockets.closeQuietly(connection.socket()));
     opened.clear();
   }
-
-  private static void closeQuietly(Socket socket) {
-    try {
-      socket.close();
-    } catch (IOException e) {
-      // The connection is of no further use either way.
-    }
-  }
 }
