--- a/src/test/java/stonespring/daemon/DiscoveryOutageTest.java
+++ b/src/test/java/stonespring/daemon/DiscoveryOutageTest.java
@@ -28,6 +28,13 @@
 
   @RegisterExtension final PlatformFixture platform = new PlatformFixture();
 
+  private PlatformDaemon startDaemon() throws Exception {
+    platform.writeConfig(platform.config());
+    PlatformDaemon daemon = new PlatformDaemon(PlatformConfig.read(platform.configFile()));
+    daemon.start();
+    return daemon;
+  }
+
   /** Ends the first watch and refuses the requests that follow. */
   private void endWatchAndRefuseRequests() throws Exception {
     EndpointListRequest watch = platform.acceptListRequest(platform.discovery());
@@ -57,9 +64,7 @@
    */
   @Test
   void asksAgainBeforeItCountsAsNotifiedAfterThreeRefusals() throws Exception {
-    platform.writeConfig(platform.config());
-    PlatformDaemon daemon = new PlatformDaemon(PlatformConfig.read(platform.configFile()));
-    daemon.start();
+    PlatformDaemon daemon = startDaemon();
     endWatchAndRefuseRequests();
     assertAskedInTime(platform.discovery(), System.nanoTime());
     daemon.stop();
@@ -71,9 +76,7 @@
    */
   @Test
   void asksNewAddressBeforeItCountsAsNotifiedAfterThreeRefusals() throws Exception {
-    platform.writeConfig(platform.config());
-    PlatformDaemon daemon = new PlatformDaemon(PlatformConfig.read(platform.configFile()));
-    daemon.start();
+    PlatformDaemon daemon = startDaemon();
     endWatchAndRefuseRequests();
     long movedAtNanos = System.nanoTime();
     ServerSocket moved = platform.listen();
@@ -89,9 +92,7 @@
    */
   @Test
   void asksAgainBeforeItCountsAsNotifiedOfChangeInIncompleteMessage() throws Exception {
-    platform.writeConfig(platform.config());
-    PlatformDaemon daemon = new PlatformDaemon(PlatformConfig.read(platform.configFile()));
-    daemon.start();
+    PlatformDaemon daemon = startDaemon();
     EndpointListRequest watch = platform.acceptListRequest(platform.discovery());
     watch.beginWatch(endpointList(5, endpoint("s-1", "west")));
     long changedAtNanos = System.nanoTime();
