Replace unknown tables in time where no report ever arrives

Cause: the table of a proxy that joins with tables was kept until reports came, or until an endpoint was not ready. Reports come from attempts, and attempts need a route: where all endpoints are ready and no proxy has a route, the wait has no end (UrgentUpdates.isOverdue).

Change: the limit that held for endpoints that are not ready, half the time that a proxy may be without an endpoint, holds for any list with an endpoint. Where a round starts within that time, nothing changes.

On the platform's settings the simulated fleet allows what a table names, as PlatformProxyApi does.

--- a/src/main/java/stonespring/decision/UrgentUpdates.java
+++ b/src/main/java/stonespring/decision/UrgentUpdates.java
@@ -59,7 +59,7 @@
     exclusionsDoNotFit = anyNotReady && !exclusions.hasRoomForNotices();
     boolean postponed = false;
     for (ProxyState proxy : proxies.all()) {
-      boolean due = isDue(proxy, anyNotReady);
+      boolean due = isDue(proxy);
       if (due && hasRoom(proxy)) {
         selected.add(proxy);
       } else {
@@ -85,13 +85,13 @@
    * Returns whether a proxy needs an update now. Proxies of sharded fleets never do: they keep the
    * tables that are stored for their shards.
    */
-  private boolean isDue(ProxyState proxy, boolean anyNotReady) {
+  private boolean isDue(ProxyState proxy) {
     if (!proxy.isConnected() || settings.fleet().sharded()) {
       return false;
     }
     return proxy.isTableAssigned()
         ? proxy.table().isBroken()
-        : proxy.isWithoutTables() || cadence.hasEnoughRounds() || isOverdue(proxy, anyNotReady);
+        : proxy.isWithoutTables() || cadence.hasEnoughRounds() || isOverdue(proxy);
   }
 
   /**
@@ -100,11 +100,17 @@
    * time, because all endpoints of such a table may be out of service. They may also have gone out
    * of service around the time when the previous instance process died, so that the endpoint list
    * no longer shows them.
+   *
+   * <p>The limit does not depend on reports: proxies whose tables have no route make no attempts,
+   * so that no report about them ever arrives and no round starts. While no endpoint is known,
+   * there is nothing to replace a table with.
    */
-  private boolean isOverdue(ProxyState proxy, boolean anyNotReady) {
+  private boolean isOverdue(ProxyState proxy) {
     long connectedForDeciMillis = clock.since(proxy.connectedAt());
+    boolean anyEndpointKnown = endpoints.size() > 0;
     return exclusionsDoNotFit
-        || anyNotReady && connectedForDeciMillis > settings.routing().maxTimeWithoutEndpoint() / 2
+        || anyEndpointKnown
+            && connectedForDeciMillis > settings.routing().maxTimeWithoutEndpoint() / 2
         || cadence.hasStartedRound() && connectedForDeciMillis > UNKNOWN_TABLE_TIMEOUT_DECI_MILLIS;
   }
 
--- a/src/test/java/stonespring/decision/Fleet.java
+++ b/src/test/java/stonespring/decision/Fleet.java
@@ -191,14 +191,7 @@
   /** Connects a proxy. A proxy that was connected before keeps its zone and request rate. */
   void connect(int number, int zone, double requestRate, boolean withoutTables) {
     FleetProxy proxy = proxies.computeIfAbsent(number, n -> new FleetProxy(n, zone, requestRate));
-    proxy.connected = true;
-    proxy.withoutTables = withoutTables;
-    proxy.withoutRouteSince = -1;
-    proxy.table = null;
-    proxy.messagesSentAt.clear();
-    if (withoutTables) {
-      proxy.excludedEndpoints.clear();
-    }
+    proxy.connect(withoutTables);
     events.add(
         new Event.ProxyConnected(
             new ProxyId(number), new ZoneId(proxy.zone), proxy.requestRate, withoutTables));
@@ -391,9 +384,22 @@
     } else {
       table.remove(command.endpoint().name());
     }
-    proxies.values().stream()
-        .filter(p -> p.connected && p.table == table)
-        .forEach(p -> entries.merge(p.number, 1, Integer::sum));
+    for (FleetProxy proxy : proxies.values()) {
+      if (proxy.connected && proxy.table == table) {
+        entries.merge(proxy.number, 1, Integer::sum);
+        allowRoutesOnPlatform(proxy);
+      }
+    }
+  }
+
+  /**
+   * On the platform, whatever a table names is allowed explicitly, as an earlier instance may have
+   * excluded it.
+   */
+  private void allowRoutesOnPlatform(FleetProxy proxy) {
+    if (settings.channel().proxyTablesUnknown()) {
+      proxy.excludedEndpoints.removeAll(proxy.table.keySet());
+    }
   }
 
   private void assignTable(Command.AssignRouteTable command, TreeMap<Integer, Integer> entries) {
@@ -405,6 +411,7 @@
     boolean mayExclude = settings.channel().proxyTablesUnknown() && !proxy.withoutTables;
     int allowedAgain = mayExclude ? proxy.table.size() : 0;
     entries.merge(proxy.number, proxy.table.size() + 1 + allowedAgain, Integer::sum);
+    allowRoutesOnPlatform(proxy);
   }
 
   private void excludeEndpoint(Command.ExcludeEndpoint command, TreeMap<Integer, Integer> entries) {
--- a/src/test/java/stonespring/decision/FleetInvariants.java
+++ b/src/test/java/stonespring/decision/FleetInvariants.java
@@ -51,7 +51,7 @@
 
   private static void checkHasRoute(
       Fleet fleet, FleetProxy proxy, boolean warmEndpointListed, String when) {
-    boolean hasNoRoute = proxy.table != null && proxy.shares().isEmpty();
+    boolean hasNoRoute = proxy.usableEndpoints().isEmpty();
     if (!hasNoRoute || !warmEndpointListed) {
       proxy.withoutRouteSince = -1;
     } else if (proxy.withoutRouteSince < 0) {
--- a/src/test/java/stonespring/decision/FleetProxy.java
+++ b/src/test/java/stonespring/decision/FleetProxy.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 
@@ -23,6 +24,12 @@
   /** Weights by endpoint; null while the proxy holds tables that the engine does not know. */
   TreeMap<String, Double> table;
 
+  /** Stands for the endpoints in tables that other instances assigned before the test began. */
+  private static final String ENDPOINT_OF_OTHER_INSTANCE = "other";
+
+  /** Names of the endpoints in the tables that the proxy held when it last connected. */
+  private final TreeSet<String> heldEndpoints = new TreeSet<>(Set.of(ENDPOINT_OF_OTHER_INSTANCE));
+
   /** Names of the endpoints that the proxy was told not to use. */
   final TreeSet<String> excludedEndpoints = new TreeSet<>();
 
@@ -56,4 +63,30 @@
     }
     return shares;
   }
+
+  /**
+   * Connects the proxy. It keeps the tables that it held, which the engine does not know, unless it
+   * starts without tables.
+   */
+  void connect(boolean startsWithoutTables) {
+    if (startsWithoutTables) {
+      heldEndpoints.clear();
+      excludedEndpoints.clear();
+    } else if (table != null) {
+      heldEndpoints.clear();
+      heldEndpoints.addAll(table.keySet());
+    }
+    connected = true;
+    withoutTables = startsWithoutTables;
+    withoutRouteSince = -1;
+    table = null;
+    messagesSentAt.clear();
+  }
+
+  /** Names of the endpoints that the proxy may send requests to, whether or not they are ready. */
+  TreeSet<String> usableEndpoints() {
+    TreeSet<String> usable = new TreeSet<>(table == null ? heldEndpoints : table.keySet());
+    usable.removeAll(excludedEndpoints);
+    return usable;
+  }
 }
