--- a/src/test/java/stonespring/daemon/DiscoveryOutageTest.java
+++ b/src/test/java/stonespring/daemon/DiscoveryOutageTest.java
@@ -87,8 +87,8 @@
   }
 
   /**
-   * Guards against waiting too long for the rest of a message: the server begins to tell of a
-   * change, and sends pieces of the message without ever completing it.
+   * Guards against waiting too long for the rest of a message: the server begins a message about a
+   * change, and sends pieces of it without ever completing it.
    */
   @Test
   void asksAgainBeforeItCountsAsNotifiedOfChangeInIncompleteMessage() throws Exception {
