--- a/review/lib-2/Rig.java
+++ b/review/lib-2/Rig.java
@@ -105,10 +105,21 @@
     Thread.sleep((long) ms);
   }
 
+  /**
+   * Returns a free port below those that the system hands out by itself, so that neither a dial nor
+   * another case takes it before the assigner listens.
+   */
   static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return socket.getLocalPort();
+    Random draws = new Random();
+    for (int attempt = 0; attempt < 1000; attempt++) {
+      int port = 12_000 + draws.nextInt(18_000);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+        return socket.getLocalPort();
+      } catch (BindException e) {
+        // Taken; draws another.
+      }
     }
+    throw new IOException("no free port found");
   }
 
   void log(String format, Object... values) {
