Keep the tables of proxies while no endpoint list was ever received

Cause: a list that never arrived was taken for an empty one. A first table was due at once and had no routes; the capacity of no endpoints gave an admission limit of 0.05; endpoints that only reports named counted as removed and were excluded.

Change: EndpointRegistry.isListUsable decides in one place whether there is a list to go by; first tables, admission limits and reports about unlisted endpoints ask it. It works as nothing can be taken from a proxy before there is something to take its place, and the first list makes the tables due at once.

--- a/src/main/java/stonespring/decision/AdmissionController.java
+++ b/src/main/java/stonespring/decision/AdmissionController.java
@@ -216,10 +216,11 @@
 
   /**
    * Updates the limits to what the listed endpoints can serve. Between rounds the confidence does
-   * not change, but the admitted fraction follows changes of the endpoint list.
+   * not change, but the admitted fraction follows changes of the endpoint list. Without a usable
+   * list the capacity is unknown, and the limits stay as they are.
    */
   void updateLimits(boolean inRound) {
-    if (estimates.traffic().offeredRate() <= 0) {
+    if (estimates.traffic().offeredRate() <= 0 || !endpoints.isListUsable()) {
       return;
     }
     Load load = observeLoad();
--- a/src/main/java/stonespring/decision/EndpointRegistry.java
+++ b/src/main/java/stonespring/decision/EndpointRegistry.java
@@ -43,6 +43,9 @@
   private final List<EndpointState> newlyReady = new ArrayList<>();
   private boolean exclusionsNeeded;
 
+  /** Whether discovery has provided a list since this instance started. */
+  private boolean listReceived;
+
   EndpointRegistry(Settings settings, EngineClock clock, LatencyModel latencyModel) {
     this.settings = settings;
     this.clock = clock;
@@ -61,6 +64,15 @@
     return endpoints.size();
   }
 
+  /**
+   * Returns whether decisions may be based on the endpoint list: discovery has provided it since
+   * this instance started, or the cached list names a ready endpoint. Otherwise nothing is known
+   * about the endpoints that proxies use, which may all work.
+   */
+  boolean isListUsable() {
+    return listReceived || endpoints.stream().anyMatch(EndpointState::isReady);
+  }
+
   Optional<EndpointState> find(EndpointId id) {
     return Optional.ofNullable(byId.get(id));
   }
@@ -109,6 +121,7 @@
 
   /** Applies a whole endpoint list or a delta. */
   void applyUpdate(Event.EndpointListUpdate update) {
+    listReceived |= update.kind() != Event.ListUpdateKind.CACHED;
     boolean[] listed = new boolean[endpoints.size() + update.endpoints().size()];
     for (EndpointRecord entry : update.endpoints()) {
       EndpointState endpoint = findOrAdd(entry.endpoint());
@@ -164,14 +177,15 @@
 
   /**
    * Records reported outcomes. An endpoint that proxies use although no list has named it was
-   * removed before this instance started; its outcomes are ignored where removed endpoints may keep
-   * serving.
+   * removed before this instance started, provided that there is a usable list; its outcomes are
+   * ignored where removed endpoints may keep serving.
    *
    * @return whether the outcomes were recorded
    */
   boolean recordOutcomes(Event.EndpointOutcomes outcomes) {
-    if (settings.endpointList().removedEndpointsKeepServing()
-        && !byId.containsKey(outcomes.endpoint())) {
+    boolean removedOnesCount =
+        isListUsable() && !settings.endpointList().removedEndpointsKeepServing();
+    if (!removedOnesCount && !byId.containsKey(outcomes.endpoint())) {
       return false;
     }
     EndpointState endpoint = findOrAdd(outcomes.endpoint());
--- a/src/main/java/stonespring/decision/UrgentUpdates.java
+++ b/src/main/java/stonespring/decision/UrgentUpdates.java
@@ -89,9 +89,17 @@
     if (!proxy.isConnected() || settings.fleet().sharded()) {
       return false;
     }
-    return proxy.isTableAssigned()
-        ? proxy.table().isBroken()
-        : proxy.isWithoutTables() || cadence.hasEnoughRounds() || isOverdue(proxy);
+    return proxy.isTableAssigned() ? proxy.table().isBroken() : isFirstTableDue(proxy);
+  }
+
+  /**
+   * Returns whether the first table of this instance is due at a proxy. It replaces all routes that
+   * the proxy holds, bootstrap routes included, so it is never due without a usable endpoint list:
+   * it would have no route, and the routes that it replaces may all work.
+   */
+  private boolean isFirstTableDue(ProxyState proxy) {
+    return endpoints.isListUsable()
+        && (proxy.isWithoutTables() || cadence.hasEnoughRounds() || isOverdue(proxy));
   }
 
   /**
