Limit the memory of incomplete HTTP messages of all clients together

What callers saw: 400 clients that sent long heads without an end left proxy, task and registry under a heap of 64 MB with an OutOfMemoryError and without an answer to anyone, also after the clients had left.

Cause: each connection had limits of its own; nothing limited all together, nor the time of a message. A head could have 800 KB, and a read buffer of up to 64 KB stood behind the first bytes of a message.

Evidence: at the sound client beside the crowd got one answer or none in 8 s, resident 155 to 160 MB, the error in the log of each of the three. Short heads, half bodies and slow writers were borne at 400.

Change: IncomingMessages rejects the message that was begun first above an eighth of the heap, and messages that take over 20 s; a head may have 32 KiB; the connection longest without a request closes when there are too many; reads are small. It works as a sound client's message is complete before its turn to be rejected.

--- a/src/main/java/stonespring/http/HttpDecoder.java
+++ b/src/main/java/stonespring/http/HttpDecoder.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Pattern;
 import stonespring.netty.FailStopDecoder;
 
 /**
@@ -22,6 +23,8 @@
   private static final String BODY_LOCATION = "body";
   private static final String LENGTH_HEADER = "content-length";
   private static final String ENCODING_HEADER = "transfer-encoding";
+  private static final Pattern BODY_SIZE = Pattern.compile("[0-9]{1,9}");
+  private static final Pattern CHUNK_SIZE = Pattern.compile("[0-9A-Fa-f]{1,7}");
 
   private enum State {
     START_LINE,
@@ -38,7 +41,7 @@
   private final int maxBodyBytes;
   private State state = State.START_LINE;
   private StartLine startLine;
-  private HeaderParser headerParser = new HeaderParser();
+  private HeaderParser headerParser = new HeaderParser(0);
   private ByteArrayOutputStream body;
 
   /** Bytes of the current body or chunk that have not arrived yet. */
@@ -94,14 +97,16 @@
     int lineFeed = in.indexOf(in.readerIndex(), in.writerIndex(), (byte) '\n');
     if (lineFeed < 0) {
       if (in.readableBytes() > MAX_LINE_BYTES) {
-        throw new MalformedHttpException(location(), "a line is over " + MAX_LINE_BYTES + " bytes");
+        throw lineTooLong();
       }
       return null;
     }
     int length = lineFeed - in.readerIndex();
-    if (length > MAX_LINE_BYTES || length == 0 || in.getByte(lineFeed - 1) != '\r') {
-      throw new MalformedHttpException(
-          location(), "a line is over " + MAX_LINE_BYTES + " bytes or does not end in CR LF");
+    if (length > MAX_LINE_BYTES) {
+      throw lineTooLong();
+    }
+    if (length == 0 || in.getByte(lineFeed - 1) != '\r') {
+      throw new MalformedHttpException(location(), "a line does not end in CR LF");
     }
     String line = in.toString(in.readerIndex(), length - 1, StandardCharsets.ISO_8859_1);
     in.skipBytes(length + 1);
@@ -111,6 +116,16 @@
     return line;
   }
 
+  private MalformedHttpException lineTooLong() {
+    boolean inHead = state == State.START_LINE || state == State.HEADERS;
+    return new MalformedHttpException(
+        location(),
+        "a line is over " + MAX_LINE_BYTES + " bytes",
+        inHead
+            ? MalformedHttpException.STATUS_HEAD_TOO_LARGE
+            : MalformedHttpException.STATUS_BAD_REQUEST);
+  }
+
   private static boolean containsControlCharacter(String line) {
     for (int i = 0; i < line.length(); i++) {
       char character = line.charAt(i);
@@ -135,7 +150,7 @@
       return; // RFC 9112, 2.2: empty lines before a request are ignored
     }
     startLine = decodesRequests ? StartLine.Request.parse(line) : StartLine.Response.parse(line);
-    headerParser = new HeaderParser();
+    headerParser = new HeaderParser(line.length());
     body = new ByteArrayOutputStream();
     state = State.HEADERS;
   }
@@ -167,7 +182,7 @@
   }
 
   private void startBodyOfLength(String length, List<Object> out) {
-    if (length != null && !length.matches("[0-9]{1,9}")) {
+    if (length != null && !BODY_SIZE.matcher(length).matches()) {
       throw new MalformedHttpException(headerLocation(LENGTH_HEADER), "it is no length");
     }
     if (length == null && startLine.requiresLength()) {
@@ -188,7 +203,10 @@
 
   private int checkBodySize(int bytes) {
     if (bytes > maxBodyBytes - body.size()) {
-      throw new MalformedHttpException(BODY_LOCATION, "over " + maxBodyBytes + " bytes");
+      throw new MalformedHttpException(
+          BODY_LOCATION,
+          "over " + maxBodyBytes + " bytes",
+          MalformedHttpException.STATUS_BODY_TOO_LARGE);
     }
     return bytes;
   }
@@ -196,7 +214,7 @@
   private void acceptChunkSize(String line) {
     int extension = line.indexOf(';');
     String size = (extension < 0 ? line : line.substring(0, extension)).strip();
-    if (!size.matches("[0-9A-Fa-f]{1,7}")) {
+    if (!CHUNK_SIZE.matcher(size).matches()) {
       throw new MalformedHttpException(BODY_LOCATION, "a chunk's size is no number");
     }
     remainingBytes = checkBodySize(Integer.parseInt(size, 16));
@@ -240,6 +258,18 @@
     }
   }
 
+  @Override
+  protected long decodedPartBytes() {
+    return state == State.START_LINE ? 0 : headerParser.memoryBytes() + body.size();
+  }
+
+  @Override
+  protected void discardDecodedParts() {
+    state = State.START_LINE;
+    headerParser = new HeaderParser(0);
+    body = new ByteArrayOutputStream();
+  }
+
   private void completeMessage(List<Object> out) {
     out.add(toMessage());
     state = State.START_LINE;
--- a/src/main/java/stonespring/http/HttpRequest.java
+++ b/src/main/java/stonespring/http/HttpRequest.java
@@ -9,6 +9,9 @@
     implements HttpMessage {
   private static final byte[] NO_BODY = new byte[0];
 
+  /** Memory of a header or of the request's own objects, beside their characters. */
+  static final int OBJECT_BYTES = 128;
+
   /** Creates a GET request with the host header for the server. */
   public static HttpRequest get(InetSocketAddress server, String target) {
     return withHost("GET", server, target, NO_BODY);
@@ -30,4 +33,13 @@
     headers.put(HttpMessage.headerKey(name), value);
     return this;
   }
+
+  /** Returns the approximate memory in bytes that this request holds. */
+  long memoryBytes() {
+    long bytes = OBJECT_BYTES + target.length() + body.length;
+    for (Map.Entry<String, String> header : headers.entrySet()) {
+      bytes += OBJECT_BYTES + header.getKey().length() + header.getValue().length();
+    }
+    return bytes;
+  }
 }
--- a/src/main/java/stonespring/http/HttpResponse.java
+++ b/src/main/java/stonespring/http/HttpResponse.java
@@ -33,7 +33,10 @@
       case 200 -> "OK";
       case 400 -> "Bad Request";
       case 404 -> "Not Found";
+      case 408 -> "Request Timeout";
+      case 413 -> "Content Too Large";
       case 429 -> "Too Many Requests";
+      case 431 -> "Request Header Fields Too Large";
       case 500 -> "Internal Server Error";
       case 502 -> "Bad Gateway";
       case 503 -> "Service Unavailable";
--- a/src/main/java/stonespring/http/HttpServer.java
+++ b/src/main/java/stonespring/http/HttpServer.java
@@ -10,10 +10,16 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
 import stonespring.netty.AcceptGate;
+import stonespring.netty.FairReads;
+import stonespring.netty.IncomingLimits;
+import stonespring.netty.IncomingMessages;
+import stonespring.netty.IncompleteMessageLimiter;
 
 /**
  * An HTTP/1.1 server. The requests of a connection are handled one at a time, in order, on the
@@ -42,19 +48,31 @@
 
   private static final int ACCEPT_BACKLOG = 1024;
 
+  private static final long TIMEOUT_CHECK_MILLIS = 1_000;
+
   private final Handler handler;
   private final int maxBodyBytes;
+  private final HttpServerResources resources;
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private Channel listener;
+  private Future<?> timeoutCheck;
 
   /**
-   * Creates a server that does not listen yet.
+   * Creates a server that does not listen yet, with the limits that this process's heap allows.
    *
    * @param maxBodyBytes the maximum size of a request body; larger requests are rejected
    */
   public HttpServer(Handler handler, int maxBodyBytes) {
+    this(handler, maxBodyBytes, IncomingLimits.ofThisProcess());
+  }
+
+  /** Creates a server that does not listen yet. */
+  public HttpServer(Handler handler, int maxBodyBytes, IncomingLimits limits) {
     this.handler = handler;
     this.maxBodyBytes = maxBodyBytes;
+    this.resources =
+        new HttpServerResources(
+            new IncomingMessages(limits), new OpenConnections(limits.maxConnections()));
   }
 
   /**
@@ -66,7 +84,7 @@
   public HttpServer start(EventLoopGroup loops, String host, int port)
       throws IOException, InterruptedException {
     ChannelFuture bindFuture =
-        new ServerBootstrap()
+        FairReads.apply(new ServerBootstrap())
             .group(loops)
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_REUSEADDR, true)
@@ -87,6 +105,14 @@
           "can't listen at " + host + ":" + port + ": " + bindFuture.cause().getMessage());
     }
     listener = bindFuture.channel();
+    timeoutCheck =
+        listener
+            .eventLoop()
+            .scheduleAtFixedRate(
+                resources.messages()::rejectOverdue,
+                TIMEOUT_CHECK_MILLIS,
+                TIMEOUT_CHECK_MILLIS,
+                TimeUnit.MILLISECONDS);
     return this;
   }
 
@@ -96,9 +122,13 @@
       return;
     }
     connections.add(accepted);
+    HttpDecoder decoder = HttpDecoder.forRequests(maxBodyBytes);
     accepted
         .pipeline()
-        .addLast(HttpDecoder.forRequests(maxBodyBytes), new HttpServerConnection(handler));
+        .addLast(
+            decoder,
+            new IncompleteMessageLimiter(decoder, resources.messages()),
+            new HttpServerConnection(handler, resources));
   }
 
   /** Returns the local port; valid once the server listens. */
@@ -108,6 +138,7 @@
 
   /** Stops listening and closes all connections; the future completes when the port is free. */
   public ChannelFuture stop() {
+    timeoutCheck.cancel(false);
     connections.close();
     return listener.close();
   }
--- a/src/main/java/stonespring/http/HttpServerConnection.java
+++ b/src/main/java/stonespring/http/HttpServerConnection.java
@@ -1,6 +1,8 @@
 package stonespring.http;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import java.io.IOException;
@@ -8,6 +10,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import stonespring.netty.FailStopDecoder;
+import stonespring.netty.IncompleteMessageException;
 
 /**
  * A connection of a server. Passes requests to the handler one at a time and queues pipelined ones.
@@ -19,12 +22,29 @@
   /** Reading from the connection pauses while this many requests are queued. */
   private static final int MAX_WAITING_REQUESTS = 16;
 
+  private static final int STATUS_TIMEOUT = 408;
+  private static final int STATUS_OVERLOADED = 503;
+
   private final HttpServer.Handler handler;
+  private final HttpServerResources resources;
   private final ArrayDeque<HttpRequest> waitingRequests = new ArrayDeque<>();
+  private ChannelHandlerContext context;
   private boolean requestInProgress;
 
-  HttpServerConnection(HttpServer.Handler handler) {
+  HttpServerConnection(HttpServer.Handler handler, HttpServerResources resources) {
     this.handler = handler;
+    this.resources = resources;
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext ctx) {
+    context = ctx;
+    resources.connections().add(this);
+  }
+
+  /** Closes the connection, which is idle, to make room for others. May be called by any thread. */
+  void evict() {
+    context.executor().execute(context::close);
   }
 
   @Override
@@ -44,6 +64,7 @@
       return;
     }
     requestInProgress = true;
+    resources.connections().markBusy(this);
     updateAutoRead(ctx);
     handler.handle(request, new ConnectionExchange(ctx));
   }
@@ -67,6 +88,9 @@
     private void write(HttpResponse response) {
       ctx.writeAndFlush(HttpEncoder.encode(response));
       requestInProgress = false;
+      if (ctx.channel().isActive()) {
+        resources.connections().markIdle(HttpServerConnection.this);
+      }
       handleNext(ctx);
     }
 
@@ -78,20 +102,19 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
+    resources.connections().remove(this);
     waitingRequests.clear();
   }
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     Throwable rootCause = FailStopDecoder.unwrap(cause);
-    if (rootCause instanceof MalformedHttpException) {
-      LOG.warn(
-          "http peer {}: connection closed: {}",
-          ctx.channel().remoteAddress(),
-          rootCause.getMessage());
-      HttpResponse response =
-          HttpResponse.of(400, rootCause.getMessage() + "\n").setHeader("connection", "close");
-      ctx.writeAndFlush(HttpEncoder.encode(response)).addListener(future -> ctx.close());
+    if (rootCause instanceof MalformedHttpException malformed) {
+      endWith(malformed.status(), malformed.getMessage());
+      return;
+    }
+    if (rootCause instanceof IncompleteMessageException incomplete) {
+      endWith(status(incomplete), incomplete.getMessage());
       return;
     }
     if (!(rootCause instanceof IOException)) {
@@ -102,4 +125,23 @@
     }
     ctx.close();
   }
+
+  private static int status(IncompleteMessageException cause) {
+    return cause.reason() == IncompleteMessageException.Cause.TIMEOUT
+        ? STATUS_TIMEOUT
+        : STATUS_OVERLOADED;
+  }
+
+  /** Ends the connection with an error response. */
+  private void endWith(int status, String problem) {
+    LOG.warn("http peer {}: connection closed: {}", context.channel().remoteAddress(), problem);
+    HttpResponse response =
+        HttpResponse.of(status, problem + "\n").setHeader("connection", "close");
+    ChannelFuture written = context.writeAndFlush(HttpEncoder.encode(response));
+    if (written.isDone()) {
+      written.addListener(ChannelFutureListener.CLOSE);
+    } else {
+      context.close(); // the peer does not read; waiting for it could keep the connection forever
+    }
+  }
 }
--- a/src/main/java/stonespring/http/StartLine.java
+++ b/src/main/java/stonespring/http/StartLine.java
@@ -1,12 +1,22 @@
 package stonespring.http;
 
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /** The first line of a request or response. */
 sealed interface StartLine {
   /** The location that is reported in errors of the first line. */
   String LOCATION = "first line";
 
+  /** The method of a request. */
+  Pattern METHOD = Pattern.compile("[A-Z]{1,20}");
+
+  /** The status code of a response. */
+  Pattern STATUS = Pattern.compile("[1-5][0-9][0-9]");
+
+  /** The supported versions. */
+  Pattern VERSION = Pattern.compile("HTTP/1\\.[01]");
+
   /** Returns whether a message with this first line never has a body, whatever its headers say. */
   boolean excludesBody();
 
@@ -22,7 +32,7 @@
       String[] parts = line.split(" ", 3);
       if (parts.length != 3
           || !isSupportedVersion(parts[2])
-          || !parts[0].matches("[A-Z]{1,20}")
+          || !METHOD.matcher(parts[0]).matches()
           || !parts[1].startsWith("/")) {
         throw new MalformedHttpException(LOCATION, "it is no request of HTTP/1.1");
       }
@@ -51,7 +61,7 @@
       String[] parts = line.split(" ", 3);
       if (parts.length < 2
           || !isSupportedVersion(parts[0])
-          || !parts[1].matches("[1-5][0-9][0-9]")) {
+          || !STATUS.matcher(parts[1]).matches()) {
         throw new MalformedHttpException(LOCATION, "not a valid HTTP/1.1 status line");
       }
       return new Response(Integer.parseInt(parts[1]), parts.length == 3 ? parts[2] : "");
@@ -74,6 +84,6 @@
   }
 
   private static boolean isSupportedVersion(String word) {
-    return word.matches("HTTP/1\\.[01]");
+    return VERSION.matcher(word).matches();
   }
 }
--- a/src/main/java/stonespring/line/LineDecoder.java
+++ b/src/main/java/stonespring/line/LineDecoder.java
@@ -49,6 +49,16 @@
     out.add(LineMessage.parse(decodeText(bytes)));
   }
 
+  @Override
+  protected long decodedPartBytes() {
+    return 0;
+  }
+
+  @Override
+  protected void discardDecodedParts() {
+    // A line is decoded as a whole.
+  }
+
   private static String decodeText(byte[] bytes) {
     String text = decodeUtf8(bytes);
     for (int i = 0; i < text.length(); i++) {
--- a/src/main/java/stonespring/netty/FailStopDecoder.java
+++ b/src/main/java/stonespring/netty/FailStopDecoder.java
@@ -37,6 +37,27 @@
    */
   protected abstract void decode(ByteBuf in, List<Object> out);
 
+  /**
+   * Returns the memory in bytes that the incomplete message holds: received bytes that are not
+   * decoded yet, and decoded parts. Returns 0 if no message is incomplete.
+   */
+  final long incompleteBytes() {
+    ByteBuf received = internalBuffer();
+    return (received.isReadable() ? received.capacity() : 0) + decodedPartBytes();
+  }
+
+  /** Returns the memory in bytes that the decoded parts of an incomplete message hold. */
+  protected abstract long decodedPartBytes();
+
+  /** Drops the incomplete message and discards all bytes that follow. */
+  final void discardIncomplete() {
+    failed = true;
+    discardDecodedParts();
+  }
+
+  /** Drops the decoded parts of an incomplete message, after which nothing is decoded any more. */
+  protected abstract void discardDecodedParts();
+
   /**
    * Returns the exception that a decoder threw, if the given one is Netty's {@link
    * DecoderException} around it. Returns any other exception unchanged.
--- a/src/main/java/stonespring/zmtp/FrameDecoder.java
+++ b/src/main/java/stonespring/zmtp/FrameDecoder.java
@@ -53,6 +53,15 @@
     }
   }
 
+  /** Returns the bytes of the frames of a message whose last frame has not arrived. */
+  long pendingMessageBytes() {
+    return pendingMessageBytes;
+  }
+
+  void discardPendingFrames() {
+    takeCompleteMessage();
+  }
+
   private void checkFlags(int flags) {
     if (!FrameFlags.areValid(flags)) {
       throw new ZmtpProtocolException(
--- a/src/main/java/stonespring/zmtp/ZmtpDecoder.java
+++ b/src/main/java/stonespring/zmtp/ZmtpDecoder.java
@@ -28,4 +28,14 @@
       out.add(greeting.get());
     }
   }
+
+  @Override
+  protected long decodedPartBytes() {
+    return frameDecoder.pendingMessageBytes();
+  }
+
+  @Override
+  protected void discardDecodedParts() {
+    frameDecoder.discardPendingFrames();
+  }
 }
