Limit the memory of incomplete ZMTP messages of all peers together

Cause: as for HTTP; each connection could hold 2 MiB of a message, and nothing limited all together.

Change: the three ports share IncomingMessages; the message that was begun first is rejected above an eighth of the heap, and messages that take over 20 s. Reads are small.

Measured: the two cases of UnfairCrowdTest with serve failed before (read timeouts) and pass.

--- a/src/main/java/stonespring/chp/ChpServer.java
+++ b/src/main/java/stonespring/chp/ChpServer.java
@@ -15,6 +15,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import stonespring.netty.IncomingLimits;
+import stonespring.netty.IncomingMessages;
 import stonespring.zmtp.SocketType;
 import stonespring.zmtp.ZmtpConnection;
 import stonespring.zmtp.ZmtpLimits;
@@ -39,14 +41,17 @@
   private static final int MAX_SNAPSHOT_PORT = 65_533;
 
   private static final long MIN_CLOSE_WAIT_MILLIS = 100;
+  private static final long TIMEOUT_CHECK_MILLIS = 1_000;
 
   private final EventLoopGroup loops;
   private final ZmtpLimits limits;
   private final ChpBackend backend;
+  private final IncomingMessages messages = new IncomingMessages(IncomingLimits.ofThisProcess());
   private final UpdatePublisher publisher;
   private final ChannelGroup connections;
   private final List<Channel> listeningChannels = new ArrayList<>();
   private Future<?> heartbeatTask;
+  private Future<?> timeoutCheck;
   private int port;
 
   /**
@@ -117,6 +122,14 @@
                 HEARTBEAT_INTERVAL_MILLIS,
                 HEARTBEAT_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
+    timeoutCheck =
+        loops
+            .next()
+            .scheduleAtFixedRate(
+                messages::rejectOverdue,
+                TIMEOUT_CHECK_MILLIS,
+                TIMEOUT_CHECK_MILLIS,
+                TimeUnit.MILLISECONDS);
   }
 
   private void bind(SocketType type, String host, int bindPort, ZmtpListener listener)
@@ -127,7 +140,8 @@
                 type,
                 new InetSocketAddress(host, bindPort),
                 limits,
-                new TrackingListener(listener))
+                new TrackingListener(listener),
+                messages)
             .await();
     if (!bindFuture.isSuccess()) {
       throw new IOException(
@@ -163,6 +177,7 @@
     stopListening();
     if (heartbeatTask != null) {
       heartbeatTask.cancel(false);
+      timeoutCheck.cancel(false);
     }
     long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(writeTimeoutMillis);
     for (Channel connection : connections) {
--- a/src/main/java/stonespring/zmtp/ZmtpConnection.java
+++ b/src/main/java/stonespring/zmtp/ZmtpConnection.java
@@ -12,6 +12,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import stonespring.netty.FailStopDecoder;
+import stonespring.netty.ProtocolViolationException;
 
 /**
  * A ZMTP connection, inbound or outbound. Its state is confined to its event loop; {@code
@@ -269,7 +270,7 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     Throwable rootCause = FailStopDecoder.unwrap(cause);
-    if (rootCause instanceof ZmtpProtocolException || rootCause instanceof IOException) {
+    if (rootCause instanceof ProtocolViolationException || rootCause instanceof IOException) {
       close(String.valueOf(rootCause.getMessage()));
     } else {
       LOG.error(
--- a/src/main/java/stonespring/zmtp/ZmtpSockets.java
+++ b/src/main/java/stonespring/zmtp/ZmtpSockets.java
@@ -16,6 +16,9 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import stonespring.netty.AcceptGate;
+import stonespring.netty.FairReads;
+import stonespring.netty.IncomingMessages;
+import stonespring.netty.IncompleteMessageLimiter;
 
 /** Opens listening sockets and outbound connections. Thread-safe. */
 public final class ZmtpSockets {
@@ -35,21 +38,26 @@
 
   private ZmtpSockets() {}
 
-  /** Starts to listen; the future completes when the socket is bound or binding has failed. */
+  /**
+   * Starts to listen; the future completes when the socket is bound or binding has failed.
+   *
+   * @param messages the messages that peers of this and other listeners have begun
+   */
   public static ChannelFuture listen(
       EventLoopGroup loops,
       SocketType type,
       SocketAddress address,
       ZmtpLimits limits,
-      ZmtpListener listener) {
-    return new ServerBootstrap()
+      ZmtpListener listener,
+      IncomingMessages messages) {
+    return FairReads.apply(new ServerBootstrap())
         .group(loops)
         .channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
         .handler(new AcceptGate())
         .childOption(ChannelOption.TCP_NODELAY, true)
-        .childHandler(new AcceptedConnectionInitializer(type, limits, listener))
+        .childHandler(new AcceptedConnectionInitializer(type, limits, listener, messages))
         .bind(address);
   }
 
@@ -72,32 +80,39 @@
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel channel) {
-                initPipeline(channel, new ZmtpConnection(type, false, limits, listener), limits);
+                ZmtpConnection connection = new ZmtpConnection(type, false, limits, listener);
+                setWriteBuffer(channel, limits);
+                channel.pipeline().addLast(new ZmtpDecoder(limits), connection);
               }
             })
         .connect(address);
   }
 
-  private static void initPipeline(Channel channel, ZmtpConnection connection, ZmtpLimits limits) {
+  private static void setWriteBuffer(Channel channel, ZmtpLimits limits) {
     int maxPendingBytes = limits.maxPendingBytes();
     channel
         .config()
         .setWriteBufferWaterMark(new WriteBufferWaterMark(maxPendingBytes / 2, maxPendingBytes));
-    channel.pipeline().addLast(new ZmtpDecoder(limits), connection);
   }
 
-  /** Counts the open connections of a listening socket and closes new ones over the limit. */
+  /**
+   * Counts the open connections of a listening socket, closes new ones over the limit, and limits
+   * the memory of incomplete messages.
+   */
   private static final class AcceptedConnectionInitializer
       extends ChannelInitializer<SocketChannel> {
     private final SocketType type;
     private final ZmtpLimits limits;
     private final ZmtpListener listener;
+    private final IncomingMessages messages;
     private final AtomicInteger openConnections = new AtomicInteger();
 
-    AcceptedConnectionInitializer(SocketType type, ZmtpLimits limits, ZmtpListener listener) {
+    AcceptedConnectionInitializer(
+        SocketType type, ZmtpLimits limits, ZmtpListener listener, IncomingMessages messages) {
       this.type = type;
       this.limits = limits;
       this.listener = listener;
+      this.messages = messages;
     }
 
     @Override
@@ -113,7 +128,14 @@
         return;
       }
       accepted.closeFuture().addListener(future -> openConnections.decrementAndGet());
-      initPipeline(accepted, new ZmtpConnection(type, true, limits, listener), limits);
+      setWriteBuffer(accepted, limits);
+      ZmtpDecoder decoder = new ZmtpDecoder(limits);
+      accepted
+          .pipeline()
+          .addLast(
+              decoder,
+              new IncompleteMessageLimiter(decoder, messages),
+              new ZmtpConnection(type, true, limits, listener));
     }
   }
 }
--- a/src/test/java/stonespring/cli/UnfairCrowdTest.java
+++ b/src/test/java/stonespring/cli/UnfairCrowdTest.java
@@ -16,6 +16,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntFunction;
@@ -39,6 +40,13 @@
   /** Bound for each wait and for each answer to a sound client. */
   private static final int TIMEOUT_MILLIS = 10_000;
 
+  private static final String GREETING =
+      "FF 0000000000000000 7F 03 01 4E554C4C 00000000000000000000000000000000 00" + "00".repeat(31);
+  private static final String READY_DEALER =
+      "04 1C 05 5245414459 0B 536F636B65742D54797065 00000006 4445414C4552";
+  private static final String READY_PUB =
+      "04 19 05 5245414459 0B 536F636B65742D54797065 00000003 505542";
+
   /**
    * A command and how to talk to it.
    *
@@ -79,7 +87,9 @@
             List.of("proxy", "settings.star", "--name", "p1", "--zone", "west", "--port", "PORT"),
             "proxy p1 127.0.0.1:(\\d+)",
             "/op/view",
-            "x-not-run: 1"));
+            "x-not-run: 1"),
+        chpListener(0, READY_DEALER),
+        chpListener(2, READY_PUB));
   }
 
   private static Listener httpListener(
@@ -108,10 +118,34 @@
     return ascii(request.toString());
   }
 
+  private static Listener chpListener(int portOffset, String ready) {
+    ByteBuffer frame = ByteBuffer.allocate(9 + (1 << 20) - 1);
+    frame.put((byte) 2).putLong(1 << 20);
+    byte[] unfinished = concatenate(hex(GREETING + ready), frame.array());
+    byte[] snapshotRequest = concatenate(new byte[] {1, 8}, ascii("ICANHAZ?"));
+    byte[] subtree = concatenate(new byte[] {0, 3}, ascii("/x/"));
+    return new Listener(
+        List.of("serve", "settings.star"),
+        "serves at 127.0.0.1:(\\d+) ",
+        portOffset,
+        number -> unfinished,
+        concatenate(hex(GREETING + READY_DEALER), concatenate(snapshotRequest, subtree)),
+        "KTHXBAI");
+  }
+
   private static byte[] ascii(String text) {
     return text.getBytes(StandardCharsets.US_ASCII);
   }
 
+  private static byte[] hex(String digits) {
+    return HexFormat.of().parseHex(digits.replace(" ", ""));
+  }
+
+  private static byte[] concatenate(byte[] first, byte[] second) {
+    ByteBuffer all = ByteBuffer.allocate(first.length + second.length);
+    return all.put(first).put(second).array();
+  }
+
   private int start(Listener listener) throws Exception {
     Files.writeString(
         folder.resolve("tasks.json"),
--- a/src/test/java/stonespring/zmtp/ZmtpConnectionTest.java
+++ b/src/test/java/stonespring/zmtp/ZmtpConnectionTest.java
@@ -18,6 +18,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import stonespring.netty.IncomingLimits;
+import stonespring.netty.IncomingMessages;
 
 /** Tests a publisher against raw sockets that write the protocol's bytes as specified. */
 final class ZmtpConnectionTest {
@@ -59,7 +61,8 @@
                   public void connectionClosed(ZmtpConnection connection) {
                     events.add("closed");
                   }
-                })
+                },
+                new IncomingMessages(IncomingLimits.ofThisProcess()))
             .sync()
             .channel();
   }
