Send nothing on for clients that have closed their connection

Cause: a connection was not read from while 16 requests waited, and only reading shows its end; the error of the write of an answer came after the next request was handed on. The proxy asked nowhere whether the client was still there.

Evidence: with 20 waiting requests the server takes the connection for open 10 s after the close, with 10 it notices at once.

It works as the end is seen when it arrives, whatever is unread before it.

Measured: the new cases of HttpPipeliningTest and all of AbandonedRequestsTest failed before and pass.

--- a/src/main/java/stonespring/http/HttpServer.java
+++ b/src/main/java/stonespring/http/HttpServer.java
@@ -31,6 +31,14 @@
     /** Handles a request; the response may be sent later and from any thread. */
     void handle(HttpRequest request, Exchange exchange);
 
+    /**
+     * Returns the response to a request that is not handled because too many wait. Called on the
+     * connection's event loop.
+     */
+    default HttpResponse rejection() {
+      return HttpResponse.of(503, "too many requests wait\n").setHeader("retry-after", "1");
+    }
+
     /** Called for each new connection; returns false to close it. */
     default boolean accept(Channel channel) {
       return true;
--- a/src/main/java/stonespring/http/HttpServerConnection.java
+++ b/src/main/java/stonespring/http/HttpServerConnection.java
@@ -6,37 +6,46 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import java.io.IOException;
-import java.util.ArrayDeque;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import stonespring.netty.FailStopDecoder;
 import stonespring.netty.IncompleteMessageException;
 
 /**
- * A connection of a server. Passes requests to the handler one at a time and queues pipelined ones.
- * While the peer does not read its responses, no request is read or handled. State is confined to
- * the connection's event loop.
+ * A connection of a server. Passes requests to the handler one at a time and queues pipelined ones,
+ * within the limits of {@link PipelinedRequests}; those beyond are answered with the handler's
+ * rejection, in order.
+ *
+ * <p>The connection is read from while requests wait, so that its end is noticed and the requests
+ * that wait are dropped. It is neither read from nor are further requests handled while the peer
+ * does not read its responses. State is confined to the connection's event loop.
  */
 final class HttpServerConnection extends SimpleChannelInboundHandler<HttpRequest> {
   private static final Logger LOG = LoggerFactory.getLogger(HttpServerConnection.class);
 
-  /** Reading from the connection pauses while this many requests are queued. */
-  private static final int MAX_WAITING_REQUESTS = 16;
+  /** Requests that are handled or rejected before the other connections have their turn. */
+  private static final int MAX_ANSWERS_PER_TURN = 64;
 
   private static final int STATUS_TIMEOUT = 408;
   private static final int STATUS_OVERLOADED = 503;
 
   private final HttpServer.Handler handler;
   private final HttpServerResources resources;
-  private final ArrayDeque<HttpRequest> waitingRequests = new ArrayDeque<>();
+  private final PipelinedRequests pipeline;
   private ChannelHandlerContext context;
-  private boolean requestInProgress;
-  private boolean handlingRequests;
+  private boolean dispatching;
   private boolean reading;
 
+  /** The response that ends the connection, once all earlier ones are sent; null if none. */
+  private HttpResponse finalResponse;
+
+  /** The request that is handled; null if there is none. */
+  private HttpRequest current;
+
   HttpServerConnection(HttpServer.Handler handler, HttpServerResources resources) {
     this.handler = handler;
     this.resources = resources;
+    this.pipeline = new PipelinedRequests(resources.messages());
   }
 
   @Override
@@ -53,8 +62,8 @@
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, HttpRequest request) {
     reading = true;
-    waitingRequests.add(request);
-    handleWaiting();
+    pipeline.add(request);
+    dispatch();
   }
 
   @Override
@@ -65,29 +74,64 @@
 
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-    handleWaiting();
+    ctx.channel().config().setAutoRead(ctx.channel().isWritable());
+    dispatch();
   }
 
-  /** Handles requests that wait, until one awaits its response or the peer reads too slowly. */
-  private void handleWaiting() {
-    if (handlingRequests) {
-      return; // a handler responded at once; the loop below goes on
+  /**
+   * Handles or rejects requests that wait, until one awaits its response. Goes on in a later turn
+   * of the event loop if there are many.
+   */
+  private void dispatch() {
+    if (dispatching) {
+      return; // a handler responded at once, or the next turn is scheduled
     }
-    handlingRequests = true;
-    while (!requestInProgress && !waitingRequests.isEmpty() && context.channel().isWritable()) {
-      requestInProgress = true;
-      resources.connections().markBusy(this);
-      handler.handle(waitingRequests.poll(), new ConnectionExchange());
+    dispatching = true;
+    for (int i = 0; i < MAX_ANSWERS_PER_TURN && canAnswerNext(); i++) {
+      answerNext();
+    }
+    dispatching = false;
+    if (canAnswerNext()) {
+      dispatching = true;
+      context.executor().execute(this::dispatchInNextTurn);
     }
-    handlingRequests = false;
     if (!reading) {
       context.flush();
     }
-    context
-        .channel()
-        .config()
-        .setAutoRead(
-            waitingRequests.size() < MAX_WAITING_REQUESTS && context.channel().isWritable());
+    if (current == null && finalResponse != null && pipeline.isEmpty()) {
+      sendFinalResponse();
+    }
+  }
+
+  private void dispatchInNextTurn() {
+    dispatching = false;
+    dispatch();
+  }
+
+  private boolean canAnswerNext() {
+    return current == null
+        && !pipeline.isEmpty()
+        && context.channel().isActive()
+        && context.channel().isWritable();
+  }
+
+  private void answerNext() {
+    if (pipeline.pollRejection()) {
+      context.write(HttpEncoder.encode(handler.rejection()));
+    } else {
+      handle(pipeline.pollRequest());
+    }
+  }
+
+  private void handle(HttpRequest request) {
+    current = request;
+    resources.connections().markBusy(this);
+    handler.handle(request, new ConnectionExchange());
+  }
+
+  private void finishCurrent() {
+    pipeline.release(current);
+    current = null;
   }
 
   private final class ConnectionExchange implements HttpServer.Exchange {
@@ -101,12 +145,13 @@
     }
 
     private void write(HttpResponse response) {
-      context.write(HttpEncoder.encode(response));
-      requestInProgress = false;
-      if (context.channel().isActive()) {
-        resources.connections().markIdle(HttpServerConnection.this);
+      if (current == null) {
+        return; // the connection has ended
       }
-      handleWaiting();
+      finishCurrent();
+      resources.connections().markIdle(HttpServerConnection.this);
+      context.write(HttpEncoder.encode(response));
+      dispatch();
     }
 
     @Override
@@ -118,7 +163,10 @@
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     resources.connections().remove(this);
-    waitingRequests.clear();
+    pipeline.clear();
+    if (current != null) {
+      finishCurrent();
+    }
   }
 
   @Override
@@ -126,19 +174,17 @@
     Throwable rootCause = FailStopDecoder.unwrap(cause);
     if (rootCause instanceof MalformedHttpException malformed) {
       endWith(malformed.status(), malformed.getMessage());
-      return;
-    }
-    if (rootCause instanceof IncompleteMessageException incomplete) {
+    } else if (rootCause instanceof IncompleteMessageException incomplete) {
       endWith(status(incomplete), incomplete.getMessage());
-      return;
-    }
-    if (!(rootCause instanceof IOException)) {
-      LOG.error(
-          "http peer {}: connection closed: unexpected exception in the connection's handler",
-          ctx.channel().remoteAddress(),
-          rootCause);
+    } else {
+      if (!(rootCause instanceof IOException)) {
+        LOG.error(
+            "http peer {}: connection closed: unexpected exception in the connection's handler",
+            ctx.channel().remoteAddress(),
+            rootCause);
+      }
+      ctx.close();
     }
-    ctx.close();
   }
 
   private static int status(IncompleteMessageException cause) {
@@ -147,12 +193,16 @@
         : STATUS_OVERLOADED;
   }
 
-  /** Ends the connection with an error response. */
+  /** Ends the connection with an error response, after the responses to all earlier requests. */
   private void endWith(int status, String problem) {
     LOG.warn("http peer {}: connection closed: {}", context.channel().remoteAddress(), problem);
-    HttpResponse response =
-        HttpResponse.of(status, problem + "\n").setHeader("connection", "close");
-    ChannelFuture written = context.writeAndFlush(HttpEncoder.encode(response));
+    finalResponse = HttpResponse.of(status, problem + "\n").setHeader("connection", "close");
+    dispatch();
+  }
+
+  private void sendFinalResponse() {
+    ChannelFuture written = context.writeAndFlush(HttpEncoder.encode(finalResponse));
+    finalResponse = null;
     if (written.isDone()) {
       written.addListener(ChannelFutureListener.CLOSE);
     } else {
--- a/src/main/java/stonespring/proxy/Proxy.java
+++ b/src/main/java/stonespring/proxy/Proxy.java
@@ -76,9 +76,7 @@
     this.client =
         new HttpClient(
             loop, CONNECT_TIMEOUT_MILLIS, MAX_BODY_BYTES, MAX_IDLE_CONNECTIONS_PER_ENDPOINT);
-    this.server =
-        new HttpServer(
-            (request, exchange) -> loop.execute(() -> handle(request, exchange)), MAX_BODY_BYTES);
+    this.server = new HttpServer(new ServerHandler(), MAX_BODY_BYTES);
   }
 
   /**
@@ -147,6 +145,18 @@
     }
   }
 
+  private final class ServerHandler implements HttpServer.Handler {
+    @Override
+    public void handle(HttpRequest request, HttpServer.Exchange exchange) {
+      loop.execute(() -> Proxy.this.handle(request, exchange));
+    }
+
+    @Override
+    public HttpResponse rejection() {
+      return RequestExchange.rejectionAsFull();
+    }
+  }
+
   private void handle(HttpRequest request, HttpServer.Exchange exchange) {
     Optional<RequestClassId> requestClass = requestClass(request.target());
     boolean hasId = !request.header(ProxyHeaders.REQUEST_ID).isEmpty();
--- a/src/main/java/stonespring/proxy/RequestExchange.java
+++ b/src/main/java/stonespring/proxy/RequestExchange.java
@@ -51,8 +51,11 @@
         : classTimeoutMillis;
   }
 
-  /** Admits the request and sends it, or rejects it. */
+  /** Admits the request and sends it, or rejects it; drops it if its client has left. */
   void start() {
+    if (isAbandoned()) {
+      return;
+    }
     proxy.statistics().recordRequest(requestClass);
     if (proxy.now() >= deadline) {
       // The request waited in the proxy for longer than its timeout.
@@ -69,10 +72,24 @@
 
   /** Rejects the request because too many are waiting. It has not been sent to any endpoint. */
   void rejectAsFull() {
-    exchange.respond(rejectionResponse(503, REASON_FULL));
+    exchange.respond(rejectionAsFull());
+  }
+
+  /** Returns the answer to a request that is rejected because too many are waiting. */
+  static HttpResponse rejectionAsFull() {
+    return rejectionResponse(503, REASON_FULL);
+  }
+
+  /** Returns whether the client has closed its connection, so that nobody awaits the answer. */
+  private boolean isAbandoned() {
+    return !exchange.channel().isActive();
   }
 
   private void sendAttempt(EndpointId avoidedEndpoint) {
+    if (isAbandoned()) {
+      completeRequest(failureResponse(503, REASON_FAILED));
+      return;
+    }
     EndpointId endpoint =
         proxy.router().pick(requestClass, avoidedEndpoint, proxy.now()).orElse(null);
     if (endpoint == null) {
