Bound what PINGs, subscriptions and handshake timeouts of a ZMTP peer hold

Change: PONGs count against the limit and are flushed once a read; only what is subscribed can be cancelled; a prefix has 1,024 bytes at most; the timeout ends with the handshake or the connection.

--- a/src/main/java/stonespring/zmtp/ZmtpConnection.java
+++ b/src/main/java/stonespring/zmtp/ZmtpConnection.java
@@ -4,9 +4,13 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -33,11 +37,19 @@
   private static final int MAX_PING_CONTEXT_BYTES = 16;
   private static final int MAX_LOGGED_CHARS = 80;
 
+  /** Maximum length of the prefix of a subscription, in bytes; keys are shorter. */
+  private static final int MAX_PREFIX_BYTES = 1024;
+
   private final SocketType type;
   private final boolean asServer;
   private final ZmtpLimits limits;
   private final ZmtpListener listener;
+
+  /** How many times the peer subscribed to each prefix. */
+  private final Map<ByteBuffer, Integer> subscriptionCounts = new HashMap<>();
+
   private Channel channel;
+  private Future<?> handshakeTimeout;
   private String peerAddress = "?";
   private int peerMinorVersion;
   private boolean greetingReceived;
@@ -45,6 +57,9 @@
   private boolean closeReported;
   private int subscriptionCount;
 
+  /** Whether responses were written during the current read that are not sent yet. */
+  private boolean flushNeeded;
+
   ZmtpConnection(SocketType type, boolean asServer, ZmtpLimits limits, ZmtpListener listener) {
     this.type = type;
     this.asServer = asServer;
@@ -121,17 +136,14 @@
     channel = ctx.channel();
     peerAddress = String.valueOf(channel.remoteAddress());
     ctx.writeAndFlush(ZmtpEncoder.encodeGreeting(asServer));
-    ctx.executor()
-        .schedule(
-            this::closeIfHandshakeIncomplete,
-            limits.handshakeTimeoutMillis(),
-            TimeUnit.MILLISECONDS);
-  }
-
-  private void closeIfHandshakeIncomplete() {
-    if (!handshakeComplete && channel.isOpen()) {
-      close("handshake not complete within " + limits.handshakeTimeoutMillis() + " ms");
-    }
+    handshakeTimeout =
+        ctx.executor()
+            .schedule(
+                () ->
+                    close(
+                        "handshake not complete within " + limits.handshakeTimeoutMillis() + " ms"),
+                limits.handshakeTimeoutMillis(),
+                TimeUnit.MILLISECONDS);
   }
 
   @Override
@@ -141,7 +153,7 @@
     } else if (!greetingReceived) {
       throw new ZmtpProtocolException("greeting", "not received before the first frame");
     } else if (part instanceof ZmtpPart.Command command) {
-      acceptCommand(ctx, command);
+      acceptCommand(command);
     } else if (part instanceof ZmtpPart.Message message) {
       acceptMessage(message.frames());
     }
@@ -157,7 +169,7 @@
     ctx.writeAndFlush(ReadyCommand.encode(type));
   }
 
-  private void acceptCommand(ChannelHandlerContext ctx, ZmtpPart.Command command) {
+  private void acceptCommand(ZmtpPart.Command command) {
     String commandName = command.name();
     if (!handshakeComplete
         && !commandName.equals(ReadyCommand.NAME)
@@ -172,7 +184,7 @@
               "peer sent ERROR", sanitizeForLog(ErrorCommand.decodeReason(data)));
       case "SUBSCRIBE" -> acceptSubscription(data, true);
       case "CANCEL" -> acceptSubscription(data, false);
-      case "PING" -> acceptPing(ctx, data);
+      case "PING" -> acceptPing(data);
       case "PONG" -> {
         // Ignored: this side never sends PING, so it expects no PONG.
       }
@@ -200,10 +212,11 @@
       throw incompatible;
     }
     handshakeComplete = true;
+    handshakeTimeout.cancel(false);
     listener.connectionOpened(this);
   }
 
-  private void acceptPing(ChannelHandlerContext ctx, byte[] data) {
+  private void acceptPing(byte[] data) {
     if (data.length < PING_TTL_BYTES || data.length > PING_TTL_BYTES + MAX_PING_CONTEXT_BYTES) {
       throw new ZmtpProtocolException(
           "PING",
@@ -215,7 +228,16 @@
               + data.length);
     }
     byte[] context = Arrays.copyOfRange(data, PING_TTL_BYTES, data.length);
-    ctx.writeAndFlush(ZmtpEncoder.encodeCommand("PONG", context));
+    writeEncoded(ZmtpEncoder.encodeCommand("PONG", context));
+    flushNeeded = true;
+  }
+
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    if (flushNeeded) {
+      flushNeeded = false;
+      ctx.flush();
+    }
   }
 
   private void acceptMessage(List<byte[]> frames) {
@@ -241,15 +263,29 @@
     if (!type.publishes()) {
       throw new ZmtpProtocolException("subscription", "received by a socket that does not publish");
     }
+    if (prefix.length > MAX_PREFIX_BYTES) {
+      throw new ZmtpProtocolException(
+          "subscription", "the prefix is over the limit of " + MAX_PREFIX_BYTES + " bytes");
+    }
+    if (!subscribed && !subscriptionCounts.containsKey(ByteBuffer.wrap(prefix))) {
+      return; // cancels nothing
+    }
     subscriptionCount += subscribed ? 1 : -1;
     if (subscriptionCount > limits.maxSubscriptions()) {
       throw new ZmtpProtocolException(
           "subscription",
           "the peer exceeds the limit of " + limits.maxSubscriptions() + " subscriptions");
     }
+    subscriptionCounts.merge(
+        ByteBuffer.wrap(prefix), subscribed ? 1 : -1, ZmtpConnection::sumOrRemove);
     listener.subscriptionChanged(this, prefix, subscribed);
   }
 
+  /** Returns the sum of two counts; null, which removes the entry of a map, if it is 0. */
+  private static Integer sumOrRemove(int count, int change) {
+    return count + change == 0 ? null : count + change;
+  }
+
   /**
    * Prepares text from a peer for a log line: truncates it and replaces every character except
    * printable ASCII.
@@ -261,6 +297,9 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
+    // A timeout that stays scheduled would keep this connection's memory until it fires.
+    handshakeTimeout.cancel(false);
+    subscriptionCounts.clear();
     if (!closeReported) {
       closeReported = true;
       listener.connectionClosed(this);
