Give other connections their turn while one pipelines at full speed

Cause: the rejections of counted requests went out 64 at a time by tasks that were due at once. The event loop runs such tasks for up to a second before it reads from any connection.

Change: a connection gives 64 answers for each read, the next 64 after a millisecond, which lets the loop read from others first.

--- a/src/main/java/stonespring/http/HttpServerConnection.java
+++ b/src/main/java/stonespring/http/HttpServerConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import java.io.IOException;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import stonespring.netty.FailStopDecoder;
@@ -26,6 +27,9 @@
   /** Requests that are handled or rejected before the other connections have their turn. */
   private static final int MAX_ANSWERS_PER_TURN = 64;
 
+  /** A task that is due at once would run before the other connections are read from. */
+  private static final long NEXT_TURN_MILLIS = 1;
+
   private static final int STATUS_TIMEOUT = 408;
   private static final int STATUS_OVERLOADED = 503;
 
@@ -34,6 +38,8 @@
   private final PipelinedRequests pipeline;
   private ChannelHandlerContext context;
   private boolean dispatching;
+  private int answersThisTurn;
+  private boolean nextTurnScheduled;
   private boolean reading;
 
   /** The response that ends the connection, once all earlier ones are sent; null if none. */
@@ -69,7 +75,9 @@
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
     reading = false;
+    answersThisTurn = 0;
     ctx.flush();
+    dispatch();
   }
 
   @Override
@@ -84,16 +92,19 @@
    */
   private void dispatch() {
     if (dispatching) {
-      return; // a handler responded at once, or the next turn is scheduled
+      return; // a handler responded at once; the loop below goes on
     }
     dispatching = true;
-    for (int i = 0; i < MAX_ANSWERS_PER_TURN && canAnswerNext(); i++) {
+    while (canAnswerNext() && answersThisTurn < MAX_ANSWERS_PER_TURN) {
+      answersThisTurn++;
       answerNext();
     }
     dispatching = false;
-    if (canAnswerNext()) {
-      dispatching = true;
-      context.executor().execute(this::dispatchInNextTurn);
+    if (canAnswerNext() && !nextTurnScheduled) {
+      nextTurnScheduled = true;
+      context
+          .executor()
+          .schedule(this::dispatchInNextTurn, NEXT_TURN_MILLIS, TimeUnit.MILLISECONDS);
     }
     if (!reading) {
       context.flush();
@@ -104,7 +115,8 @@
   }
 
   private void dispatchInNextTurn() {
-    dispatching = false;
+    nextTurnScheduled = false;
+    answersThisTurn = 0;
     dispatch();
   }
 
--- a/src/test/java/stonespring/http/HttpPipeliningTest.java
+++ b/src/test/java/stonespring/http/HttpPipeliningTest.java
@@ -6,7 +6,9 @@
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -29,6 +31,8 @@
   /** Time without progress after which a client that is not read from counts as stopped. */
   private static final int STALL_MILLIS = 500;
 
+  private static final int HANDLING_MILLIS = 20;
+
   private static final byte[] REQUEST =
       "POST /op HTTP/1.1\r\nhost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
@@ -142,6 +146,59 @@
     }
   }
 
+  /** Guards against a client at full speed whose answers keep the event loop from all others. */
+  @Test
+  void answersOthersBesideClientThatPipelinesAtFullSpeed() throws Exception {
+    start(
+        (request, exchange) ->
+            exchange
+                .channel()
+                .eventLoop()
+                .schedule(
+                    () -> exchange.respond(HttpResponse.of(200, "ok")),
+                    HANDLING_MILLIS,
+                    TimeUnit.MILLISECONDS));
+    try (Socket flooding = connect()) {
+      byte[] requests = repeat(REQUEST, 1000);
+      startDaemon(
+          () -> {
+            while (true) {
+              flooding.getOutputStream().write(requests);
+            }
+          });
+      startDaemon(() -> flooding.getInputStream().transferTo(OutputStream.nullOutputStream()));
+      for (int i = 0; i < 50; i++) {
+        long startedNanos = System.nanoTime();
+        try (Socket sound = connect()) {
+          sound.getOutputStream().write(REQUEST);
+          readAnswers(sound.getInputStream(), 1);
+        }
+        long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos);
+        assertTrue(millis < 1000, "answer " + i + " took " + millis + " ms");
+        Thread.sleep(20);
+      }
+    }
+  }
+
+  private interface SocketAction {
+    void run() throws IOException;
+  }
+
+  /** Runs an action, which ends when its socket is closed, on a thread of its own. */
+  private static void startDaemon(SocketAction action) {
+    Thread thread =
+        new Thread(
+            () -> {
+              try {
+                action.run();
+              } catch (IOException e) {
+                // The test closed the socket.
+              }
+            });
+    thread.setDaemon(true);
+    thread.start();
+  }
+
   private static String readAnswers(InputStream in, int count) throws Exception {
     StringBuilder answers = new StringBuilder();
     byte[] buffer = new byte[1 << 16];
