Limit the messages of one peer that wait, and the sessions of one connection

Cause: one queue holds the messages of all peers, and a batch takes all that wait; one connection could have thousands of messages in it and open sessions without limit.

Evidence: at a handler that stands still gets all 5,000 messages of one connection queued, and 500 hellos on one connection open 500 sessions.

It works as a sound peer's message now waits behind a bounded number of others'.

--- a/src/main/java/stonespring/daemon/QueuedMessageHandler.java
+++ b/src/main/java/stonespring/daemon/QueuedMessageHandler.java
@@ -23,22 +23,35 @@
   @Override
   public boolean handleHello(
       String proxy, ProxyHello hello, long sessionTimeoutDeciMillis, ProxyConnection connection) {
-    return thread.offer(
+    return offer(
+        connection,
         (host, now) -> host.handleHello(proxy, hello, sessionTimeoutDeciMillis, connection, now));
   }
 
   @Override
   public boolean handleReport(String proxy, ProxyReport report, ProxyConnection connection) {
-    return thread.offer((host, now) -> host.handleReport(proxy, report, connection));
+    return offer(connection, (host, now) -> host.handleReport(proxy, report, connection));
   }
 
   @Override
   public boolean handleAcknowledgement(
       String proxy, ProxyAcknowledgement acknowledgement, ProxyConnection connection) {
-    return thread.offer(
+    return offer(
+        connection,
         (host, now) -> host.handleAcknowledgement(proxy, acknowledgement, connection, now));
   }
 
+  private boolean offer(ProxyConnection connection, EngineThread.Job job) {
+    return thread.offer(
+        (host, now) -> {
+          try {
+            job.run(host, now);
+          } finally {
+            connection.messageHandled();
+          }
+        });
+  }
+
   @Override
   public boolean requestSnapshot(String subtree, Consumer<KeySnapshot> receiver) {
     return thread.offer(
--- a/src/main/java/stonespring/proxyapi/chp/ChpProxyApi.java
+++ b/src/main/java/stonespring/proxyapi/chp/ChpProxyApi.java
@@ -11,7 +11,6 @@
 import stonespring.model.DeciMillis;
 import stonespring.proxyapi.InvalidMessageException;
 import stonespring.proxyapi.NameTable;
-import stonespring.proxyapi.ProxyConnection;
 import stonespring.proxyapi.ProxyMessageCodec;
 import stonespring.proxyapi.ProxyMessageHandler;
 import stonespring.state.KeySnapshot;
@@ -47,14 +46,6 @@
   private static final AttributeKey<AtomicInteger> PENDING_SNAPSHOTS =
       AttributeKey.valueOf("stonespring.pendingSnapshots");
 
-  /** A connection to the collector socket, on which proxies set keys. */
-  private record CollectorConnection(ZmtpConnection peer) implements ProxyConnection {
-    @Override
-    public void close(String reason) {
-      peer.close(reason);
-    }
-  }
-
   private final ProxyMessageHandler handler;
   private final ProxyMessageCodec codec;
 
@@ -115,9 +106,11 @@
 
   @Override
   public void keySet(ZmtpConnection peer, ChpMessage.KvSet set) {
+    CollectorConnection connection = collectorConnection(peer);
     boolean accepted;
     try {
-      accepted = handleKeySet(set, collectorConnection(peer));
+      connection.beforeQueueing();
+      accepted = handleKeySet(set, connection);
     } catch (InvalidMessageException e) {
       throw new InvalidChpMessageException("KVSET " + set.key() + ": " + e.getMessage());
     }
--- a/src/main/java/stonespring/state/ProxySessions.java
+++ b/src/main/java/stonespring/state/ProxySessions.java
@@ -42,6 +42,12 @@
     }
   }
 
+  /**
+   * Maximum number of sessions on one connection. A proxy needs one; the rest allows for programs
+   * that act for several proxies.
+   */
+  private static final int MAX_SESSIONS_PER_CONNECTION = 16;
+
   private final int maxProxies;
   private final Map<String, Session<C>> byName = new HashMap<>();
   private final Map<Integer, Session<C>> byId = new LinkedHashMap<>();
@@ -70,6 +76,14 @@
     if (session != null && session.isConnected()) {
       return handleHelloOfConnectedProxy(session, hello, connection, now, expiresAtDeciMillis);
     }
+    if (byConnection.getOrDefault(connection, Set.of()).size() >= MAX_SESSIONS_PER_CONNECTION) {
+      return new HelloResult.Refused<>(
+          "proxy "
+              + name
+              + " refused: the connection has "
+              + MAX_SESSIONS_PER_CONNECTION
+              + " sessions, which is the limit");
+    }
     if (session == null) {
       Optional<ProxyId> id = allocateId();
       if (id.isEmpty()) {
--- a/src/test/java/stonespring/chp/UnfairPeerTest.java
+++ b/src/test/java/stonespring/chp/UnfairPeerTest.java
@@ -1,6 +1,7 @@
 package stonespring.chp;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -176,6 +177,35 @@
     }
   }
 
+  /** Guards against a peer whose messages fill the queue that all peers share. */
+  @Test
+  void readsNoMoreFromPeerWhoseMessagesWait() throws Exception {
+    String value = "{\"origin\":\"e\",\"mark\":1,\"took\":0.1}";
+    ByteArrayOutputStream acknowledgement = new ByteArrayOutputStream();
+    for (String frame : List.of("/up/p1/answer", "12345678", "", "")) {
+      acknowledgement.write(new byte[] {1, (byte) frame.length()});
+      acknowledgement.write(frame.getBytes(StandardCharsets.US_ASCII));
+    }
+    acknowledgement.write(new byte[] {0, (byte) value.length()});
+    acknowledgement.write(value.getBytes(StandardCharsets.US_ASCII));
+    try (Socket socket = connect(server.port() + 2, "PUB")) {
+      byte[] messages = repeat(acknowledgement.toByteArray(), 5_000);
+      Thread writer = new Thread(() -> writeAll(socket, messages));
+      writer.start();
+      Thread.sleep(QUIET_MILLIS);
+      int queued = handler.queued.get();
+      assertTrue(queued > 0 && queued < 500, queued + " messages of one peer are queued");
+    }
+  }
+
+  private static void writeAll(Socket socket, byte[] bytes) {
+    try {
+      socket.getOutputStream().write(bytes);
+    } catch (IOException e) {
+      // The test has ended.
+    }
+  }
+
   /** The sound peer of the other tests: a PING is answered while nothing is wrong. */
   @Test
   void answersPing() throws Exception {
--- a/src/test/java/stonespring/state/ProxySessionsTest.java
+++ b/src/test/java/stonespring/state/ProxySessionsTest.java
@@ -14,6 +14,22 @@
 import stonespring.model.ZoneId;
 
 final class ProxySessionsTest {
+  /** Guards against one connection that opens sessions under ever new names. */
+  @Test
+  void refusesSessionsOverTheLimitOfAConnection() {
+    ProxySessions<Object> sessions = new ProxySessions<>(1000);
+    Object connection = new Object();
+    int connected = 0;
+    for (int i = 0; i < 500; i++) {
+      boolean accepted =
+          sessions.handleHello("p" + i, hello("l", 1), connection, 0, 10)
+              instanceof HelloResult.Connected;
+      connected += accepted ? 1 : 0;
+    }
+    assertEquals(16, connected);
+    assertEquals(16, sessions.endSessions(connection).size());
+  }
+
   @Test
   void refusesProxiesOverTheLimitAndReusesIdsOfDisconnectedOnes() {
     ProxySessions<Object> sessions = new ProxySessions<>(2);
