Limit the log lines about closed connections and sessions of all listeners

What callers saw: a peer that sent what can't be read and connected again at full speed wrote 13,000 to 24,400 lines, 1.8 to 3.6 MB, to the log of proxy, task, registry or serve in 7 s; ever new names 105,589 lines.

Cause: each closed connection and each session had its line; only the platform's listener limited them.

Change: that listener's limit is LogRateLimit now, used by all: five lines a second about closed connections, 100 about sessions, then the number of the rest.

Measured: HttpServerLimitsTest#logsFewLinesForManyBadClients got 300 lines before and passes.

--- a/src/main/java/stonespring/daemon/EngineHost.java
+++ b/src/main/java/stonespring/daemon/EngineHost.java
@@ -14,6 +14,7 @@
 import stonespring.model.Event;
 import stonespring.model.ProxyId;
 import stonespring.model.Settings;
+import stonespring.netty.LogRateLimit;
 import stonespring.proxyapi.ProxyConnection;
 import stonespring.state.HelloResult;
 import stonespring.state.KeyStore;
@@ -54,6 +55,7 @@
   private static final long MAX_ACKNOWLEDGEMENT_DECI_MILLIS = 600 * DeciMillis.SECOND;
 
   private static final int ACKNOWLEDGEMENT_SIGNIFICANT_DIGITS = 2;
+  private static final int MAX_SESSION_LINES_PER_SECOND = 100;
 
   private final Settings settings;
   private final HostEnvironment environment;
@@ -69,6 +71,8 @@
   private final DurationHistogram acknowledgementDurations =
       new DurationHistogram(MAX_ACKNOWLEDGEMENT_DECI_MILLIS, ACKNOWLEDGEMENT_SIGNIFICANT_DIGITS);
   private final CommandCauses causes = new CommandCauses();
+  private final LogRateLimit sessionLog =
+      new LogRateLimit(LOG, MAX_SESSION_LINES_PER_SECOND, "proxies connected or disconnected");
   private long nextReportsAt;
   private long nextStatusAt;
   private long unknownEndpointObservationCount;
@@ -143,14 +147,16 @@
             id, hello.zone(), hello.requestsPerSecond(), hello.withoutTables());
     passToEngine(now, connected, "connect " + proxy);
     environment.publish(publishedState.publishSessionStart(id));
-    LOG.info(
-        "proxy {} connected as number {}, session {}, {}",
-        proxy,
-        id.number(),
-        publishedState.sessionId(id),
-        hello.withoutTables()
-            ? "with only its bootstrap table"
-            : "with route tables from an earlier session");
+    if (sessionLog.shouldLog()) {
+      LOG.info(
+          "proxy {} connected as number {}, session {}, {}",
+          proxy,
+          id.number(),
+          publishedState.sessionId(id),
+          hello.withoutTables()
+              ? "with only its bootstrap table"
+              : "with route tables from an earlier session");
+    }
   }
 
   private void endSession(ProxyId id, String reason, long now) {
@@ -159,7 +165,9 @@
     reports.discardRequestCounts(id);
     environment.publish(publishedState.publishSessionEnd(id));
     passToEngine(now, new Event.ProxyDisconnected(id), "disconnect " + sessions.name(id));
-    LOG.info("proxy {} disconnected: {}", sessions.name(id), reason);
+    if (sessionLog.shouldLog()) {
+      LOG.info("proxy {} disconnected: {}", sessions.name(id), reason);
+    }
   }
 
   /** Ends all sessions on a connection that has been closed. */
--- a/src/main/java/stonespring/http/HttpServer.java
+++ b/src/main/java/stonespring/http/HttpServer.java
@@ -15,11 +15,14 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import stonespring.netty.AcceptGate;
 import stonespring.netty.FairReads;
 import stonespring.netty.IncomingLimits;
 import stonespring.netty.IncomingMessages;
 import stonespring.netty.IncompleteMessageLimiter;
+import stonespring.netty.LogRateLimit;
 
 /**
  * An HTTP/1.1 server. The requests of a connection are handled one at a time, in order, on the
@@ -56,7 +59,9 @@
 
   private static final int ACCEPT_BACKLOG = 1024;
 
+  private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
   private static final long TIMEOUT_CHECK_MILLIS = 1_000;
+  private static final int MAX_CLOSE_LINES_PER_SECOND = 5;
 
   private final Handler handler;
   private final int maxBodyBytes;
@@ -80,7 +85,10 @@
     this.maxBodyBytes = maxBodyBytes;
     this.resources =
         new HttpServerResources(
-            new IncomingMessages(limits), new OpenConnections(limits.maxConnections()));
+            new IncomingMessages(limits),
+            new OpenConnections(limits.maxConnections()),
+            new LogRateLimit(
+                LOG, MAX_CLOSE_LINES_PER_SECOND, "connections closed because of their peers"));
   }
 
   /**
--- a/src/main/java/stonespring/http/HttpServerConnection.java
+++ b/src/main/java/stonespring/http/HttpServerConnection.java
@@ -207,7 +207,9 @@
 
   /** Ends the connection with an error response, after the responses to all earlier requests. */
   private void endWith(int status, String problem) {
-    LOG.warn("http peer {}: connection closed: {}", context.channel().remoteAddress(), problem);
+    if (resources.closeLog().shouldLog()) {
+      LOG.warn("http peer {}: connection closed: {}", context.channel().remoteAddress(), problem);
+    }
     finalResponse = HttpResponse.of(status, problem + "\n").setHeader("connection", "close");
     dispatch();
   }
--- a/src/main/java/stonespring/line/ConnectionCloseLog.java
+++ b/src/main/java/stonespring/line/ConnectionCloseLog.java
@@ -1,23 +1,16 @@
 package stonespring.line;
 
-import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import stonespring.netty.LogRateLimit;
 
-/**
- * Logs the reasons for which connections were closed. The number of lines per second is limited;
- * connections beyond the limit are counted, and their number is logged when a connection closes in
- * a later second. State is confined to the listener's event loop.
- */
+/** Logs the reasons for which connections were closed, a limited number of them per second. */
 final class ConnectionCloseLog {
   private static final Logger LOG = LoggerFactory.getLogger(ConnectionCloseLog.class);
   private static final int MAX_LINES_PER_SECOND = 5;
 
-  /** The second of the latest closed connection, by {@link System#nanoTime}. */
-  private long currentSecond;
-
-  private int loggedThisSecond;
-  private long suppressedThisSecond;
+  private final LogRateLimit limit =
+      new LogRateLimit(LOG, MAX_LINES_PER_SECOND, "connections closed");
 
   /**
    * Logs that a connection was closed.
@@ -26,24 +19,11 @@
    *     complete
    */
   void logClosed(Object session, String reason) {
-    long now = TimeUnit.NANOSECONDS.toSeconds(System.nanoTime());
-    if (now != currentSecond) {
-      if (suppressedThisSecond > 0) {
-        LOG.warn(
-            "{} more connections closed within one second; their reasons are not logged",
-            suppressedThisSecond);
-      }
-      currentSecond = now;
-      loggedThisSecond = 0;
-      suppressedThisSecond = 0;
-    }
-    if (loggedThisSecond++ < MAX_LINES_PER_SECOND) {
+    if (limit.shouldLog()) {
       LOG.warn(
           "connection of {} closed: {}",
           session == null ? "a peer with an incomplete handshake" : session,
           reason);
-    } else {
-      suppressedThisSecond++;
     }
   }
 }
--- a/src/main/java/stonespring/zmtp/ZmtpConnection.java
+++ b/src/main/java/stonespring/zmtp/ZmtpConnection.java
@@ -16,6 +16,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import stonespring.netty.FailStopDecoder;
+import stonespring.netty.LogRateLimit;
 import stonespring.netty.ProtocolViolationException;
 
 /**
@@ -44,6 +45,7 @@
   private final boolean asServer;
   private final ZmtpLimits limits;
   private final ZmtpListener listener;
+  private final LogRateLimit closeLog;
 
   /** How many times the peer subscribed to each prefix. */
   private final Map<ByteBuffer, Integer> subscriptionCounts = new HashMap<>();
@@ -60,11 +62,17 @@
   /** Whether responses were written during the current read that are not sent yet. */
   private boolean flushNeeded;
 
-  ZmtpConnection(SocketType type, boolean asServer, ZmtpLimits limits, ZmtpListener listener) {
+  ZmtpConnection(
+      SocketType type,
+      boolean asServer,
+      ZmtpLimits limits,
+      ZmtpListener listener,
+      LogRateLimit closeLog) {
     this.type = type;
     this.asServer = asServer;
     this.limits = limits;
     this.listener = listener;
+    this.closeLog = closeLog;
   }
 
   /**
@@ -125,7 +133,7 @@
 
   /** Closes the connection and logs the cause, unless it is already closed. */
   public void close(String cause) {
-    if (channel.isOpen()) {
+    if (channel.isOpen() && closeLog.shouldLog()) {
       LOG.warn("zmtp {} peer {}: connection closed: {}", type, peerAddress, cause);
     }
     channel.close();
--- a/src/main/java/stonespring/zmtp/ZmtpSockets.java
+++ b/src/main/java/stonespring/zmtp/ZmtpSockets.java
@@ -19,6 +19,7 @@
 import stonespring.netty.FairReads;
 import stonespring.netty.IncomingMessages;
 import stonespring.netty.IncompleteMessageLimiter;
+import stonespring.netty.LogRateLimit;
 
 /** Opens listening sockets and outbound connections. Thread-safe. */
 public final class ZmtpSockets {
@@ -36,6 +37,10 @@
    */
   private static final int CONNECT_TIMEOUT_MILLIS = 3_000;
 
+  private static final int MAX_CLOSE_LINES_PER_SECOND = 5;
+  private static final LogRateLimit CLOSE_LOG =
+      new LogRateLimit(LOG, MAX_CLOSE_LINES_PER_SECOND, "closed or refused connections");
+
   private ZmtpSockets() {}
 
   /**
@@ -80,7 +85,8 @@
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel channel) {
-                ZmtpConnection connection = new ZmtpConnection(type, false, limits, listener);
+                ZmtpConnection connection =
+                    new ZmtpConnection(type, false, limits, listener, CLOSE_LOG);
                 setWriteBuffer(channel, limits);
                 channel.pipeline().addLast(new ZmtpDecoder(limits), connection);
               }
@@ -118,11 +124,13 @@
     @Override
     protected void initChannel(SocketChannel accepted) {
       if (openConnections.incrementAndGet() > limits.maxConnections()) {
-        LOG.warn(
-            "zmtp {} peer {}: connection refused: limit of {} connections reached",
-            type,
-            accepted.remoteAddress(),
-            limits.maxConnections());
+        if (CLOSE_LOG.shouldLog()) {
+          LOG.warn(
+              "zmtp {} peer {}: connection refused: limit of {} connections reached",
+              type,
+              accepted.remoteAddress(),
+              limits.maxConnections());
+        }
         openConnections.decrementAndGet();
         accepted.close();
         return;
@@ -135,7 +143,7 @@
           .addLast(
               decoder,
               new IncompleteMessageLimiter(decoder, messages),
-              new ZmtpConnection(type, true, limits, listener));
+              new ZmtpConnection(type, true, limits, listener, CLOSE_LOG));
     }
   }
 }
--- a/src/test/java/stonespring/http/HttpServerLimitsTest.java
+++ b/src/test/java/stonespring/http/HttpServerLimitsTest.java
@@ -3,6 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.read.ListAppender;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
@@ -14,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.slf4j.LoggerFactory;
 import stonespring.netty.IncomingLimits;
 
 /** Tests what a server answers to clients that exceed one of its limits. */
@@ -113,4 +117,27 @@
     awaitEnd(first);
     assertTrue(server.connections().size() <= 5, server.connections().size() + " are open");
   }
+
+  /** Guards against a log that grows with each client that sends what can't be read. */
+  @Test
+  void logsFewLinesForManyBadClients() throws Exception {
+    Logger logger = (Logger) LoggerFactory.getLogger(HttpServerConnection.class);
+    ListAppender<ILoggingEvent> appender = new ListAppender<>();
+    appender.start();
+    logger.addAppender(appender);
+    try {
+      start(IncomingLimits.ofThisProcess());
+      long startedNanos = System.nanoTime();
+      for (int i = 0; i < 300; i++) {
+        try (Socket bad = send("nonsense\r\n")) {
+          awaitEnd(bad);
+        }
+      }
+      long begunSeconds = 2 + TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - startedNanos);
+      int lines = appender.list.size();
+      assertTrue(lines > 0 && lines <= 5 * begunSeconds, lines + " lines");
+    } finally {
+      logger.detachAppender(appender);
+    }
+  }
 }
