Keep working tables where reports prove a cached endpoint list out of date

Cause: a cached list that no discovery server had confirmed counted as knowledge, and reports about endpoints that it lacks were dropped by the platform's side, or taken for removed endpoints by the engine.

Change: EndpointRegistry.isListUsable hears such reports: before discovery has provided a list, and where most attempts at an unlisted endpoint succeed, the cached list replaces nothing. It works as the proxies' own successes are later news than the list. The events can't lead to a command that names the endpoint.

--- a/src/main/java/stonespring/daemon/ReportBatcher.java
+++ b/src/main/java/stonespring/daemon/ReportBatcher.java
@@ -48,7 +48,9 @@
 
   /** Returns whether an event is a report, which this class collects. */
   static boolean isReport(Event event) {
-    return event instanceof Event.EndpointOutcomes || event instanceof Event.ProxyRequestRate;
+    return event instanceof Event.EndpointOutcomes
+        || event instanceof Event.UnlistedEndpointOutcomes
+        || event instanceof Event.ProxyRequestRate;
   }
 
   void add(Event report) {
--- a/src/main/java/stonespring/decision/AssignmentEngine.java
+++ b/src/main/java/stonespring/decision/AssignmentEngine.java
@@ -86,6 +86,8 @@
     clock.advanceTo(now);
     if (event instanceof Event.EndpointOutcomes outcomes) {
       handleOutcomes(outcomes);
+    } else if (event instanceof Event.UnlistedEndpointOutcomes unlisted) {
+      endpoints.recordUnlistedOutcomes(unlisted.outcomes());
     } else if (event instanceof Event.ProxyEvent proxyEvent) {
       handleProxyEvent(proxyEvent);
     } else {
--- a/src/main/java/stonespring/decision/EndpointRegistry.java
+++ b/src/main/java/stonespring/decision/EndpointRegistry.java
@@ -33,6 +33,12 @@
    */
   private static final double REMOVAL_CONFIRMED_FAILURE_SHARE = 0.8;
 
+  /**
+   * Number of report intervals for which a success at an unlisted endpoint shows that a cached list
+   * is out of date; reports may come late.
+   */
+  private static final int OUTDATED_LIST_REPORT_INTERVALS = 3;
+
   private final Settings settings;
   private final EngineClock clock;
   private final LatencyModel latencyModel;
@@ -46,6 +52,9 @@
   /** Whether discovery has provided a list since this instance started. */
   private boolean listReceived;
 
+  /** When reports last showed that an unlisted endpoint works. */
+  private long unlistedSuccessAt = EngineClock.NEVER;
+
   EndpointRegistry(Settings settings, EngineClock clock, LatencyModel latencyModel) {
     this.settings = settings;
     this.clock = clock;
@@ -65,12 +74,23 @@
   }
 
   /**
-   * Returns whether decisions may be based on the endpoint list: discovery has provided it since
-   * this instance started, or the cached list names a ready endpoint. Otherwise nothing is known
-   * about the endpoints that proxies use, which may all work.
+   * Returns whether decisions may be based on the endpoint list. A list that discovery has provided
+   * since this instance started always counts. A cached list counts if it names a ready endpoint,
+   * unless reports show that it is out of date: proxies succeed at endpoints that it lacks. Without
+   * a usable list, the endpoints that proxies use may all work, and are to be left to them.
    */
   boolean isListUsable() {
-    return listReceived || endpoints.stream().anyMatch(EndpointState::isReady);
+    return listReceived || !isCachedListOutdated() && anyReady();
+  }
+
+  private boolean isCachedListOutdated() {
+    return unlistedSuccessAt != EngineClock.NEVER
+        && clock.since(unlistedSuccessAt)
+            <= OUTDATED_LIST_REPORT_INTERVALS * settings.reportInterval();
+  }
+
+  private boolean anyReady() {
+    return endpoints.stream().anyMatch(EndpointState::isReady);
   }
 
   Optional<EndpointState> find(EndpointId id) {
@@ -177,16 +197,17 @@
 
   /**
    * Records reported outcomes. An endpoint that proxies use although no list has named it was
-   * removed before this instance started, provided that there is a usable list; its outcomes are
+   * removed before this instance started, provided that the list is usable; its outcomes are
    * ignored where removed endpoints may keep serving.
    *
    * @return whether the outcomes were recorded
    */
   boolean recordOutcomes(Event.EndpointOutcomes outcomes) {
-    boolean removedOnesCount =
-        isListUsable() && !settings.endpointList().removedEndpointsKeepServing();
-    if (!removedOnesCount && !byId.containsKey(outcomes.endpoint())) {
-      return false;
+    if (!byId.containsKey(outcomes.endpoint())) {
+      recordUnlistedOutcomes(outcomes);
+      if (!isListUsable() || settings.endpointList().removedEndpointsKeepServing()) {
+        return false;
+      }
     }
     EndpointState endpoint = findOrAdd(outcomes.endpoint());
     endpoint.statistics().record(outcomes, clock.now());
@@ -197,6 +218,17 @@
     return true;
   }
 
+  /**
+   * Records outcomes at an endpoint that no list has named. If most attempts succeed, the endpoint
+   * works, so that a cached list that lacks it is out of date.
+   */
+  void recordUnlistedOutcomes(Event.EndpointOutcomes outcomes) {
+    long successes = outcomes.attempts() - outcomes.failures();
+    if (successes > outcomes.failures()) {
+      unlistedSuccessAt = clock.now();
+    }
+  }
+
   private EndpointState findOrAdd(EndpointId id) {
     EndpointState known = byId.get(id);
     if (known != null) {
--- a/src/main/java/stonespring/model/Event.java
+++ b/src/main/java/stonespring/model/Event.java
@@ -103,6 +103,13 @@
       LoadReport report)
       implements Event {}
 
+  /**
+   * The outcomes of attempts at an endpoint that no list has named so far. They show whether the
+   * list that the engine holds is out of date. No command may name the endpoint, since it may not
+   * exist.
+   */
+  record UnlistedEndpointOutcomes(EndpointOutcomes outcomes) implements Event {}
+
   /** The result of a {@link Command.HealthCheck}. The current engine ignores it. */
   record HealthCheckResult(EndpointId endpoint, boolean healthy, long duration, LoadReport report)
       implements Event {}
--- a/src/main/java/stonespring/proxyapi/platform/PlatformProxyApi.java
+++ b/src/main/java/stonespring/proxyapi/platform/PlatformProxyApi.java
@@ -59,6 +59,10 @@
   private final CollectorConnections collectors = new CollectorConnections(MAX_COLLECTORS_PER_ZONE);
   private final KnownEndpoints knownEndpoints = new KnownEndpoints(MAX_KNOWN_ENDPOINTS);
   private RouteTables tables;
+
+  /** Whether discovery has provided a list since the start. */
+  private boolean listReceived;
+
   private long droppedMessageCount;
 
   /**
@@ -153,10 +157,13 @@
     }
     Event.EndpointOutcomes outcomes = codec.readLoad(message);
     // Proxies close their session when they receive a command for an endpoint that never existed.
-    if (!knownEndpoints.contains(outcomes.endpoint())) {
+    if (knownEndpoints.contains(outcomes.endpoint())) {
+      eventConsumer.accept(outcomes);
+    } else if (listReceived) {
       throw PlatformMessageCodec.unlistedEndpoint();
+    } else {
+      eventConsumer.accept(new Event.UnlistedEndpointOutcomes(outcomes));
     }
-    eventConsumer.accept(outcomes);
   }
 
   private void handleRate(PlatformPeer sender, LineMessage message) {
@@ -205,6 +212,9 @@
    * Applies a change of the endpoint list; reports about its endpoints are accepted from now on.
    */
   public void updateEndpointList(Event.EndpointListUpdate update) {
+    listReceived |=
+        update.kind() == Event.ListUpdateKind.SNAPSHOT
+            || update.kind() == Event.ListUpdateKind.DELTA;
     for (EndpointId evicted : knownEndpoints.add(update.endpoints())) {
       excludedEndpointsByProxy.values().forEach(excluded -> excluded.remove(evicted));
       tables.discardExclusion(evicted);
--- a/src/test/java/stonespring/proxyapi/platform/PlatformProxyApiTest.java
+++ b/src/test/java/stonespring/proxyapi/platform/PlatformProxyApiTest.java
@@ -57,8 +57,29 @@
 
   @RegisterExtension final PlatformApiFixture fixture = new PlatformApiFixture();
 
+  /** Reports about unlisted endpoints show that a cached list is out of date, and no more. */
+  @Test
+  void emitsReportsAboutUnlistedEndpointsUntilListArrives() throws Exception {
+    Client collector = fixture.connect().send("SOURCE site=west");
+    String unlisted = "LOAD site=west target=s-none count=9 fail=1 mean=1 over=1000";
+    collector.send(unlisted);
+    Event.EndpointOutcomes outcomes =
+        new Event.EndpointOutcomes(
+            new EndpointId("s-none"), new ZoneId(0), 9, 1, 10_000, 10, LoadReport.NONE);
+    assertEquals(new Event.UnlistedEndpointOutcomes(outcomes), fixture.nextEvent());
+    fixture.updateEndpointList(Event.ListUpdateKind.FETCH_FAILED, List.of());
+    collector.send(unlisted);
+    assertEquals(new Event.UnlistedEndpointOutcomes(outcomes), fixture.nextEvent());
+    fixture.updateEndpointList(Event.ListUpdateKind.DELTA, List.of());
+    collector.send(unlisted);
+    collector.assertAnswersKeepAlive();
+    assertTrue(fixture.hasNoEvents());
+    assertEquals(1, fixture.api().droppedMessageCount());
+  }
+
   @Test
   void emitsEventsForValidReportsAndDropsOnlyInvalidOnes() throws Exception {
+    fixture.updateEndpointList(Event.ListUpdateKind.DELTA, List.of());
     Client proxy = fixture.connectProxy();
     Client collector = fixture.connect().send("SOURCE site=west");
     fixture.execute(new Command.RequestAck(new AckId(7), true));
