End the exclusion of an endpoint before the engine forgets the endpoint

Cause: eviction drops what the engine knows of an endpoint, its exclusion among it, without a word to proxies; what returns counts as never excluded.

Change: the exclusion is ended before the eviction. It works as every later state of the endpoint then starts from what proxies hold.

--- a/src/main/java/stonespring/decision/AssignmentEngine.java
+++ b/src/main/java/stonespring/decision/AssignmentEngine.java
@@ -29,6 +29,7 @@
   private final ChannelBudget budget;
   private final EngineTimers timers;
   private final EndpointListWatcher listWatcher;
+  private final ExclusionNotifier exclusions;
   private final UrgentUpdates urgentUpdates;
   private final AdmissionController admission;
   private final EndpointIntroducer introducer;
@@ -63,8 +64,7 @@
     budget = new ChannelBudget(settings.channel(), clock, proxies, batch);
     timers = new EngineTimers(settings, clock, batch);
     listWatcher = new EndpointListWatcher(settings, clock, random, batch, timers);
-    ExclusionNotifier exclusions =
-        new ExclusionNotifier(settings, clock, endpoints, proxies, batch, budget);
+    exclusions = new ExclusionNotifier(settings, clock, endpoints, proxies, batch, budget);
     urgentUpdates =
         new UrgentUpdates(settings, clock, endpoints, proxies, cadence, budget, exclusions);
     admission =
@@ -207,7 +207,8 @@
    */
   private void startRound() {
     estimates.traffic().startRound();
-    endpoints.startRound(proxies::isInTable);
+    // The endpoint may return under its id as one that nothing is known about.
+    endpoints.startRound(proxies::isInTable, endpoint -> exclusions.setExcluded(endpoint, false));
     estimates.capacity().startRound();
     estimates.cadence().startRound();
   }
--- a/src/main/java/stonespring/decision/EndpointRegistry.java
+++ b/src/main/java/stonespring/decision/EndpointRegistry.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.Stream;
@@ -253,13 +254,15 @@
    * ago than the retention period and are in no route table.
    *
    * @param inTable whether any route table has a route to an endpoint
+   * @param evictionListener called before an endpoint is evicted
    */
-  void startRound(Predicate<EndpointState> inTable) {
+  void startRound(Predicate<EndpointState> inTable, Consumer<EndpointState> evictionListener) {
     for (EndpointState endpoint : endpoints) {
       if (!endpoint.isEvicted()
           && endpoint.state() == EndpointRecord.State.REMOVED
           && clock.since(endpoint.outOfServiceSince()) > REMOVED_RETENTION_DECI_MILLIS
           && !inTable.test(endpoint)) {
+        evictionListener.accept(endpoint);
         byId.remove(endpoint.id());
         endpoint.markEvicted();
         vacantStates.add(endpoint);
