Start timeout checks and random proxies of tests in one place each

IncomingMessages starts the checks of its own time limit, which HttpServer and ChpServer scheduled alike; Fleet connects and disconnects random proxies, as two tests did alike. No behaviour changes: the random sequences draw as before; recorded commands, plans and bytes are the same.

--- a/src/main/java/stonespring/chp/ChpServer.java
+++ b/src/main/java/stonespring/chp/ChpServer.java
@@ -41,7 +41,6 @@
   private static final int MAX_SNAPSHOT_PORT = 65_533;
 
   private static final long MIN_CLOSE_WAIT_MILLIS = 100;
-  private static final long TIMEOUT_CHECK_MILLIS = 1_000;
 
   private final EventLoopGroup loops;
   private final ZmtpLimits limits;
@@ -122,14 +121,7 @@
                 HEARTBEAT_INTERVAL_MILLIS,
                 HEARTBEAT_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
-    timeoutCheck =
-        loops
-            .next()
-            .scheduleAtFixedRate(
-                messages::rejectOverdue,
-                TIMEOUT_CHECK_MILLIS,
-                TIMEOUT_CHECK_MILLIS,
-                TimeUnit.MILLISECONDS);
+    timeoutCheck = messages.startTimeoutChecks(loops.next());
   }
 
   private void bind(SocketType type, String host, int bindPort, ZmtpListener listener)
--- a/src/main/java/stonespring/http/HttpServer.java
+++ b/src/main/java/stonespring/http/HttpServer.java
@@ -14,7 +14,6 @@
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import stonespring.netty.AcceptGate;
@@ -60,7 +59,6 @@
   private static final int ACCEPT_BACKLOG = 1024;
 
   private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
-  private static final long TIMEOUT_CHECK_MILLIS = 1_000;
   private static final int MAX_CLOSE_LINES_PER_SECOND = 5;
 
   private final Handler handler;
@@ -121,14 +119,7 @@
           "can't listen at " + host + ":" + port + ": " + bindFuture.cause().getMessage());
     }
     listener = bindFuture.channel();
-    timeoutCheck =
-        listener
-            .eventLoop()
-            .scheduleAtFixedRate(
-                resources.messages()::rejectOverdue,
-                TIMEOUT_CHECK_MILLIS,
-                TIMEOUT_CHECK_MILLIS,
-                TimeUnit.MILLISECONDS);
+    timeoutCheck = resources.messages().startTimeoutChecks(listener.eventLoop());
     return this;
   }
 
--- a/src/main/java/stonespring/netty/IncomingMessages.java
+++ b/src/main/java/stonespring/netty/IncomingMessages.java
@@ -1,5 +1,7 @@
 package stonespring.netty;
 
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -31,6 +33,8 @@
     }
   }
 
+  private static final long TIMEOUT_CHECK_MILLIS = 1_000;
+
   private final IncomingLimits limits;
 
   /** Incomplete messages, the one that was begun first in front. */
@@ -44,9 +48,14 @@
     this.limits = limits;
   }
 
-  /** Returns the limits. */
-  public IncomingLimits limits() {
-    return limits;
+  /**
+   * Starts to reject messages that are not complete in time.
+   *
+   * @return the task that checks them, to be cancelled when the listener stops
+   */
+  public Future<?> startTimeoutChecks(EventLoop loop) {
+    return loop.scheduleAtFixedRate(
+        this::rejectOverdue, TIMEOUT_CHECK_MILLIS, TIMEOUT_CHECK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   /**
@@ -87,8 +96,7 @@
     first.reject(new IncompleteMessageException(cause));
   }
 
-  /** Rejects the messages that were begun longer ago than the time limit. */
-  public synchronized void rejectOverdue() {
+  private synchronized void rejectOverdue() {
     long latestOverdueNanos =
         System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(limits.messageTimeoutMillis());
     while (!incompleteMessages.isEmpty()
--- a/src/test/java/stonespring/decision/Fleet.java
+++ b/src/test/java/stonespring/decision/Fleet.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import stonespring.model.AckId;
 import stonespring.model.Command;
@@ -197,6 +198,26 @@
             new ProxyId(number), new ZoneId(proxy.zone), proxy.requestRate, withoutTables));
   }
 
+  /**
+   * Connects one of the first proxies, drawn at random, unless it is connected. Each keeps its
+   * tables or not, but starts without tables the first time.
+   */
+  void connectRandomProxy(SplittableRandom random, int proxyCount) {
+    int number = random.nextInt(proxyCount);
+    FleetProxy proxy = proxies.get(number);
+    if (proxy == null || !proxy.connected) {
+      connect(number, number % 2, 10, proxy == null || random.nextBoolean());
+    }
+  }
+
+  /** Disconnects one of the first proxies, drawn at random, if it is connected. */
+  void disconnectRandomProxy(SplittableRandom random, int proxyCount) {
+    FleetProxy proxy = proxies.get(random.nextInt(proxyCount));
+    if (proxy != null && proxy.connected) {
+      disconnect(proxy.number);
+    }
+  }
+
   void disconnect(int number) {
     proxies.get(number).connected = false;
     acknowledgements.removeIf(a -> a.proxy().number() == number);
--- a/src/test/java/stonespring/decision/MissingEndpointListTest.java
+++ b/src/test/java/stonespring/decision/MissingEndpointListTest.java
@@ -173,26 +173,11 @@
           fleet.events.add(
               new Event.EndpointListUpdate(Event.ListUpdateKind.FETCH_FAILED, List.of()));
       case 2, 3 -> reportWorkingEndpoints(fleet);
-      case 4, 5 -> connect(fleet, random);
-      case 6 -> disconnect(fleet, random);
+      case 4, 5 -> fleet.connectRandomProxy(random, PROXY_COUNT);
+      case 6 -> fleet.disconnectRandomProxy(random, PROXY_COUNT);
       default -> {
         // Time passes.
       }
     }
   }
-
-  private static void connect(Fleet fleet, SplittableRandom random) {
-    int number = random.nextInt(PROXY_COUNT);
-    FleetProxy proxy = fleet.proxies.get(number);
-    if (proxy == null || !proxy.connected) {
-      fleet.connect(number, number % 2, 10, proxy == null || random.nextBoolean());
-    }
-  }
-
-  private static void disconnect(Fleet fleet, SplittableRandom random) {
-    FleetProxy proxy = fleet.proxies.get(random.nextInt(PROXY_COUNT));
-    if (proxy != null && proxy.connected) {
-      fleet.disconnect(proxy.number);
-    }
-  }
 }
--- a/src/test/java/stonespring/decision/UnknownTablesTest.java
+++ b/src/test/java/stonespring/decision/UnknownTablesTest.java
@@ -128,8 +128,8 @@
       case 1 -> removeAllEndpoints(fleet);
       case 2, 3 -> listEndpoint(fleet, random, READY);
       case 4 -> listEndpoint(fleet, random, EndpointRecord.State.DRAINING);
-      case 5, 6 -> connect(fleet, random);
-      case 7 -> disconnect(fleet, random);
+      case 5, 6 -> fleet.connectRandomProxy(random, PROXY_COUNT);
+      case 7 -> fleet.disconnectRandomProxy(random, PROXY_COUNT);
       default -> {
         // Time passes.
       }
@@ -147,19 +147,4 @@
     int number = random.nextInt(MAX_ENDPOINTS);
     fleet.updateEndpoint("t" + number, number % 2, state, 0);
   }
-
-  private static void connect(Fleet fleet, SplittableRandom random) {
-    int number = random.nextInt(PROXY_COUNT);
-    FleetProxy proxy = fleet.proxies.get(number);
-    if (proxy == null || !proxy.connected) {
-      fleet.connect(number, number % 2, 10, proxy == null || random.nextBoolean());
-    }
-  }
-
-  private static void disconnect(Fleet fleet, SplittableRandom random) {
-    FleetProxy proxy = fleet.proxies.get(random.nextInt(PROXY_COUNT));
-    if (proxy != null && proxy.connected) {
-      fleet.disconnect(proxy.number);
-    }
-  }
 }
--- a/src/test/java/stonespring/proxyapi/platform/PlatformProxyApiTest.java
+++ b/src/test/java/stonespring/proxyapi/platform/PlatformProxyApiTest.java
@@ -57,7 +57,7 @@
 
   @RegisterExtension final PlatformApiFixture fixture = new PlatformApiFixture();
 
-  /** Reports about unlisted endpoints show that a cached list is out of date, and no more. */
+  /** Guards against reports that are dropped although they show that the cached list is old. */
   @Test
   void emitsReportsAboutUnlistedEndpointsUntilListArrives() throws Exception {
     Client collector = fixture.connect().send("SOURCE site=west");
